--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Requests for one searcher of a service."""
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/decide.py
@@ -0,0 +1,73 @@
+"""What a caller is told about a request for one searcher."""
+
+from dataclasses import dataclass
+
+from kumquatchute_model.errors import ErrorKind
+from kumquatchute_model.errors import Failure
+from kumquatchuted.retries.progress import Progress
+from kumquatchuted.retries.progress import PROMISES
+from kumquatchuted.searchers.messages import Lost
+from kumquatchuted.searchers.messages import Refusal
+from kumquatchuted.searchers.messages import Reply
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarded:
+    """The end of a request.
+
+    :param reply: answer of a searcher that the caller is given unchanged
+    :param failure: told to the caller if there is none
+    """
+
+    reply: Reply | None
+    failure: Failure | None = None
+
+
+def conclude(progress: Progress, runs_once: bool) -> Forwarded:
+    """Return the answer after the last attempt."""
+    if progress.reply is not None:
+        return _passed_on(progress.reply, runs_once)
+    if not progress.may_have_run and not progress.pending:
+        return Forwarded(
+            None,
+            Failure(
+                ErrorKind.UNAVAILABLE,
+                _reason(progress.failure),
+                not_run=True,
+            ),
+        )
+    match progress.failure:
+        case Reply(not_executed=False) as reply:
+            return _passed_on(reply, runs_once)
+    return Forwarded(
+        None, Failure(ErrorKind.TARGET_FAILED, _reason(progress.failure))
+    )
+
+
+def timed_out(progress: Progress) -> Forwarded:
+    """Return the answer when the time of the request is over."""
+    reason = f"no answer in time after {progress.sent} attempts"
+    if not progress.may_have_run and not progress.sent:
+        return Forwarded(
+            None, Failure(ErrorKind.UNAVAILABLE, reason, not_run=True)
+        )
+    return Forwarded(None, Failure(ErrorKind.DEADLINE_EXCEEDED, reason))
+
+
+def _passed_on(reply: Reply, runs_once: bool) -> Forwarded:
+    """Pass an answer on unless its status would make a false promise."""
+    if runs_once and reply.status in PROMISES:
+        reason = f"a searcher ran the request and answered {reply.status}"
+        return Forwarded(None, Failure(ErrorKind.TARGET_FAILED, reason))
+    return Forwarded(reply)
+
+
+def _reason(failure: Reply | Lost | Refusal | None) -> str:
+    match failure:
+        case Reply(status=status):
+            return f"a searcher answered {status}"
+        case Lost(reason=reason):
+            return f"no answer: {reason}"
+        case Refusal():
+            return failure.value
+    return "no attempt was made"
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/task.py
@@ -0,0 +1,141 @@
+"""The task of one request for one searcher of a service."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+import itertools
+
+from kumquatchuted.forward.decide import conclude
+from kumquatchuted.forward.decide import Forwarded
+from kumquatchuted.forward.decide import timed_out
+from kumquatchuted.mailbox import Mailbox
+from kumquatchuted.mailbox import Post
+from kumquatchuted.retries import progress as pg
+from kumquatchuted.routing.messages import Route
+from kumquatchuted.searchers.messages import AbandonAttempt
+from kumquatchuted.searchers.messages import AttemptDone
+from kumquatchuted.searchers.messages import AttemptSent
+from kumquatchuted.searchers.messages import Outgoing
+from kumquatchuted.searchers.messages import SendAttempt
+
+# A searcher stops at the time limit that it was given; its connection is
+# closed a little later, in seconds, so that it is not interrupted.
+STOP_RESERVE_S = 0.3
+
+
+# Keys stay unique after a task has ended, because late answers still come.
+_numbers = itertools.count()
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardKey:
+    """Names an attempt of a request."""
+
+    request: int
+    attempt: int
+
+
+class ForwardTask:
+    """Owns the state of one request; runs in the task of its caller."""
+
+    def __init__(
+        self,
+        route: Route,
+        service: str,
+        outgoing: Outgoing,
+        give_up_at: float,
+        post: Post,
+        clock: Callable[[], float],
+    ) -> None:
+        """Create the task.
+
+        :param give_up_at: when the caller must have an answer
+        :param post: mailbox of the task of searchers
+        """
+        self.mailbox = Mailbox()
+        self.attempts = 0
+        self._number = next(_numbers)
+        self._route = route
+        self._service = service
+        self._outgoing = outgoing
+        self._give_up_at = give_up_at
+        self._post = post
+        self._clock = clock
+        self._policy = pg.Policy(route.max_attempts, not route.idempotent)
+        self._progress = pg.Progress()
+        self._pending: set[ForwardKey] = set()
+
+    async def run(self) -> Forwarded:
+        """Run the request; withdraws attempts whose result is not needed.
+
+        A request that may run only once is left to its searcher when the
+        caller goes: nobody could tell whether it ran.
+        """
+        try:
+            return await self._run()
+        finally:
+            linger_s = 0.0
+            if not self._route.idempotent:
+                left_s = self._give_up_at - self._clock()
+                linger_s = max(0.0, left_s) + STOP_RESERVE_S
+            for key in self._pending:
+                self._post(AbandonAttempt(key, linger_s))
+
+    async def _run(self) -> Forwarded:
+        self._send(is_repeat=False)
+        while True:
+            message = await self._next_message()
+            now = self._clock()
+            match message:
+                case AttemptSent(searcher=searcher, late_s=late_s):
+                    self._progress = pg.chosen(
+                        self._progress, searcher, now + late_s
+                    )
+                case AttemptDone(key=key, result=result):
+                    self._pending.discard(key)
+                    self._finished(result)
+                case None if now >= self._give_up_at:
+                    return timed_out(self._progress)
+            if pg.is_late(self._progress, self._policy, now):
+                self._send(is_repeat=True)
+            if self._progress.is_settled():
+                return conclude(self._progress, self._policy.runs_once)
+
+    def _finished(self, result: object) -> None:
+        self._progress, repeat = pg.finished(
+            self._progress, result, self._policy
+        )
+        if repeat is not None:
+            self._send(repeat.needs_allowance)
+
+    async def _next_message(self) -> object | None:
+        due = self._give_up_at
+        late_at = self._progress.late_at
+        if late_at is not None and pg.may_send_again(
+            self._progress, self._policy
+        ):
+            due = min(due, late_at)
+        try:
+            async with asyncio.timeout(max(0.0, due - self._clock())):
+                return await self.mailbox.get()
+        except TimeoutError:
+            return None
+
+    def _send(self, is_repeat: bool) -> None:
+        self.attempts += 1
+        key = ForwardKey(self._number, self.attempts)
+        self._pending.add(key)
+        self._progress = pg.ordered(self._progress)
+        self._post(
+            SendAttempt(
+                key=key,
+                route=self._route,
+                service=self._service,
+                outgoing=self._outgoing,
+                deadline=self._give_up_at,
+                exclude=self._progress.tried,
+                runs_once=self._policy.runs_once,
+                is_repeat=is_repeat,
+                reply_to=self.mailbox.post,
+            )
+        )
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/front/__init__.py
@@ -0,0 +1,1 @@
+"""The listeners for callers and for the readiness check."""
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/front/app.py
@@ -0,0 +1,151 @@
+"""The falcon applications of the listeners."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import falcon
+import falcon.asgi
+
+from kumquatchute_model.errors import ANSWERS
+from kumquatchute_model.errors import ErrorKind
+from kumquatchute_model.errors import Failure
+from kumquatchuted.front.messages import FrontState
+from kumquatchuted.front.router import Answer
+from kumquatchuted.front.router import Router
+from kumquatchuted.http.disconnect import Application
+from kumquatchuted.http.disconnect import CancelOnDisconnect
+from kumquatchuted.platform.callers import CallerRequest
+from kumquatchuted.platform.callers import decode_request
+from kumquatchuted.platform.callers import encode_retry_after
+
+# Callers honour a pause of up to a third of the time that they have left;
+# the fault of a searcher that was just noticed is not over sooner.
+RETRY_SHARE = 0.3
+DEFAULT_RETRY_S = 0.5
+
+
+@dataclass
+class Requests:
+    """Number of requests under way; owned by the event loop."""
+
+    open: int = 0
+
+
+class CallerSink:
+    """Answers every request of callers."""
+
+    def __init__(
+        self,
+        router: Router,
+        state: Callable[[], FrontState],
+        requests: Requests,
+        count: Callable[[str, str], None],
+    ) -> None:
+        """Create the sink.
+
+        :param state: returns limits and whether the node is stopping
+        :param count: counts an event by its name and a label
+        """
+        self._router = router
+        self._state = state
+        self._requests = requests
+        self._count = count
+
+    async def __call__(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        """Run one request."""
+        self._requests.open += 1
+        try:
+            await self._run(req, resp)
+        finally:
+            self._requests.open -= 1
+
+    async def _run(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        limit = self._state().limits.max_body_bytes
+        body = await req.stream.read(limit + 1)
+        caller = decode_request(
+            req.method,
+            req.scope["raw_path"],
+            req.scope["query_string"],
+            req.scope["headers"],
+            body,
+        )
+        if len(body) > limit:
+            result = Failure(ErrorKind.TOO_LARGE, "the body is too long", True)
+        else:
+            result = await self._router.run(caller)
+        match result:
+            case Answer():
+                resp.status = result.status
+                resp.data = result.body
+                for name, value in result.headers:
+                    resp.append_header(name, value)
+                self._count("answers", str(result.status))
+            case Failure():
+                self._fail(caller, result, resp)
+        if self._state().is_stopping:
+            resp.set_header("Connection", "close")
+
+    def _fail(
+        self,
+        caller: CallerRequest,
+        failure: Failure,
+        resp: falcon.asgi.Response,
+    ) -> None:
+        self._count("failures", failure.kind.value)
+        resp.status = ANSWERS[failure.kind].http_status
+        resp.media = {"error": failure.kind.value, "reason": failure.reason}
+        if resp.status == 503:
+            pause = DEFAULT_RETRY_S
+            if caller.patience_s is not None:
+                pause = caller.patience_s * RETRY_SHARE
+            resp.set_header(*encode_retry_after(pause))
+
+
+class ReadinessResource:
+    """Tells the balancer whether new callers are welcome."""
+
+    def __init__(self, state: Callable[[], FrontState]) -> None:
+        """Create the resource."""
+        self._state = state
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        """Answer 200 or 503."""
+        resp.status = 200 if self._state().is_ready() else 503
+
+
+class MetricsResource:
+    """Serves the measures in the text format of Prometheus."""
+
+    def __init__(self, render: Callable[[], bytes]) -> None:
+        """Create the resource."""
+        self._render = render
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        """Answer with all measures."""
+        resp.content_type = "text/plain; version=0.0.4"
+        resp.data = self._render()
+
+
+def caller_app(sink: CallerSink) -> Application:
+    """Return the application for callers."""
+    app = falcon.asgi.App()
+    app.add_sink(sink, "/")
+    return CancelOnDisconnect(app)
+
+
+def operations_app(
+    state: Callable[[], FrontState], render: Callable[[], bytes]
+) -> Application:
+    """Return the application for the readiness check and metrics."""
+    app = falcon.asgi.App()
+    app.add_route("/readiness", ReadinessResource(state))
+    app.add_route("/metrics", MetricsResource(render))
+    return app
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/front/task.py
@@ -0,0 +1,97 @@
+"""The task that owns the listeners, the readiness and the planned stop."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from logbook import Logger
+
+from kumquatchuted.front.app import Requests
+from kumquatchuted.front.messages import FrontState
+from kumquatchuted.front.messages import StopRequested
+from kumquatchuted.mailbox import Mailbox
+from kumquatchuted.membership.messages import MembersChanged
+from kumquatchuted.routing.messages import CallerLimits
+from kumquatchuted.routing.messages import ManifestChanged
+from kumquatchuted.routing.table import build_table
+
+log = Logger("front")
+
+# The balancer asks once a second and takes a node out after two misses.
+# Until then it still sends new connections.
+BALANCER_S = 2.3
+# The platform kills the process at the end of the grace time; answers that
+# are ready until then leave before it.
+KILL_RESERVE_S = 0.4
+POLL_S = 0.05
+DEFAULT_LIMITS = CallerLimits(16_384, 1_048_576, 5.0, 15.0)
+
+
+class FrontTask:
+    """Owns the state that the listeners read."""
+
+    def __init__(
+        self,
+        requests: Requests,
+        grace_s: float,
+        close: Callable[[], None],
+        stop: Callable[[], None],
+        clock: Callable[[], float],
+    ) -> None:
+        """Create the task.
+
+        :param requests: requests under way
+        :param grace_s: time between the stop signal and the kill
+        :param close: closes the listeners
+        :param stop: called once, when the process is to end
+        """
+        self.mailbox = Mailbox()
+        self._state = FrontState(None, DEFAULT_LIMITS, False, False)
+        self._requests = requests
+        self._grace_s = grace_s
+        self._close = close
+        self._stop = stop
+        self._clock = clock
+        self._stopping: asyncio.Task | None = None
+
+    def state(self) -> FrontState:
+        """Return the state in force."""
+        return self._state
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            before = self._state.is_ready()
+            self._handle(await self.mailbox.get())
+            if self._state.is_ready() != before:
+                log.info("ready={}", not before)
+
+    def _handle(self, message: object) -> None:
+        match message:
+            case ManifestChanged(manifest=manifest):
+                self._state = replace(
+                    self._state,
+                    table=build_table(manifest),
+                    limits=manifest.limits,
+                )
+            case MembersChanged(searchers=searchers):
+                if searchers:
+                    self._state = replace(self._state, has_searchers=True)
+            case StopRequested() if not self._state.is_stopping:
+                log.info("stop requested open={}", self._requests.open)
+                self._state = replace(self._state, is_stopping=True)
+                self._stopping = asyncio.ensure_future(self._drain())
+
+    async def _drain(self) -> None:
+        """Wait until the balancer knows and no request is under way."""
+        started = self._clock()
+        last = started + self._grace_s - KILL_RESERVE_S
+        while self._clock() < last and (
+            self._requests.open or self._clock() < started + BALANCER_S
+        ):
+            await asyncio.sleep(POLL_S)
+        log.info("stopped open={}", self._requests.open)
+        self._close()
+        # Lets the last bytes and the closing of connections leave.
+        await asyncio.sleep(POLL_S)
+        self._stop()
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the query tier on the users' platform."""
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -0,0 +1,145 @@
+"""Wires the tasks of a node on the users' platform."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+import random
+
+from kumquatchute_model.errors import Failure
+from kumquatchuted.front.app import caller_app
+from kumquatchuted.front.app import CallerSink
+from kumquatchuted.front.app import operations_app
+from kumquatchuted.front.app import Requests
+from kumquatchuted.front.listener import Listener
+from kumquatchuted.front.messages import StopRequested
+from kumquatchuted.front.router import Router
+from kumquatchuted.front.task import FrontTask
+from kumquatchuted.gateway.metrics import GatewayMetrics
+from kumquatchuted.gateway.settings import GatewaySettings
+from kumquatchuted.mailbox import Post
+from kumquatchuted.membership.follower import Follower
+from kumquatchuted.membership.messages import Topic
+from kumquatchuted.membership.task import MembershipTask
+from kumquatchuted.platform.decoding import EVACUATION_READER
+from kumquatchuted.platform.decoding import MANIFEST_READER
+from kumquatchuted.platform.decoding import NODE_READER
+from kumquatchuted.platform.decoding import SEARCHER_READER
+from kumquatchuted.platform.objects import ObjectClient
+from kumquatchuted.platform.objects import register_node
+from kumquatchuted.searchers.task import SearchersTask
+
+READERS = {
+    Topic.MANIFEST: MANIFEST_READER,
+    Topic.SEARCHERS: SEARCHER_READER,
+    Topic.EVACUATIONS: EVACUATION_READER,
+    Topic.NODES: NODE_READER,
+}
+
+
+# The store can stop serving watches without closing them. The watch of the
+# manifest ends so often that this is noticed within the seconds after a
+# disturbance in which a change must apply; its failure restarts the others.
+SHORT_WATCH_S = 2.0
+# The others only cost calls when they end.
+LONG_WATCH_S = 15.0
+
+
+@dataclass(frozen=True)
+class Gateway:
+    """A wired node.
+
+    :param runs: coroutine functions that run as long as the node
+    :param open: binds the listeners
+    :param close: closes what is still open
+    """
+
+    runs: tuple[Callable, ...]
+    open: Callable
+    close: Callable
+    request_stop: Callable[[], None]
+
+
+def build_gateway(cfg: GatewaySettings, stop: Callable[[], None]) -> Gateway:
+    """Build all parts of a node.
+
+    :param stop: called once, when the process is to end
+    """
+    clock = asyncio.get_running_loop().time
+    rng = random.Random()
+    metrics = GatewayMetrics()
+    requests = Requests()
+    listeners: list[Listener] = []
+
+    def close_listeners() -> None:
+        for listener in listeners:
+            listener.close()
+
+    front = FrontTask(
+        requests, cfg.limits.grace_s, close_listeners, stop, clock
+    )
+    searchers = SearchersTask(cfg, clock, rng, metrics.count)
+    membership = MembershipTask(
+        (searchers.mailbox.post, front.mailbox.post), clock
+    )
+    client = ObjectClient(lambda: cfg.store)
+    followers = _followers(client, membership.mailbox.post, rng)
+    router = Router(front.state, searchers.mailbox.post, clock)
+    sink = CallerSink(router, front.state, requests, metrics.count)
+    callers = Listener(caller_app(sink), front.state)
+    operations_asgi = operations_app(front.state, metrics.render)
+    operations = Listener(operations_asgi, front.state)
+    measures = Listener(operations_asgi, front.state)
+    listeners.append(callers)
+
+    async def open_listeners() -> Failure | None:
+        fault = await callers.open(cfg.callers)
+        if fault is None:
+            fault = await operations.open(cfg.readiness)
+        if fault is None and cfg.metrics is not None:
+            fault = await measures.open(cfg.metrics)
+        return fault
+
+    async def register() -> None:
+        await register_node(client, NODE_READER.kind, cfg.node, rng)
+
+    async def run_forever(once: Callable) -> None:
+        await once()
+        await asyncio.Event().wait()
+
+    return Gateway(
+        runs=(
+            membership.run,
+            searchers.run,
+            front.run,
+            *(follower.run for follower in followers),
+            lambda: run_forever(register),
+        ),
+        open=open_listeners,
+        close=client.close,
+        request_stop=lambda: front.mailbox.post(StopRequested()),
+    )
+
+
+def _followers(
+    client: ObjectClient, post: Post, rng: random.Random
+) -> list[Follower]:
+    others = [
+        Follower(topic, client, reader, post, rng, LONG_WATCH_S)
+        for topic, reader in READERS.items()
+        if topic is not Topic.MANIFEST
+    ]
+
+    def restart_others() -> None:
+        for follower in others:
+            follower.restart()
+
+    manifest = Follower(
+        Topic.MANIFEST,
+        client,
+        READERS[Topic.MANIFEST],
+        post,
+        rng,
+        SHORT_WATCH_S,
+        restart_others,
+    )
+    return [manifest, *others]
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/core.py
@@ -0,0 +1,75 @@
+"""Runs a node on the users' platform and returns an exit status."""
+
+import asyncio
+import gc
+import signal
+import sys
+import time
+
+from logbook import Logger
+
+from kumquatchute_model.errors import ExitStatus
+from kumquatchute_model.errors import Failure
+from kumquatchuted.gateway.compose import build_gateway
+from kumquatchuted.gateway.compose import Gateway
+from kumquatchuted.gateway.settings import GatewaySettings
+from kumquatchuted.logs import install_logs
+from kumquatchuted.logs import LogHandler
+from kumquatchuted.platform.settings import read_settings
+
+log = Logger("node")
+
+
+def run(path: str) -> ExitStatus:
+    """Run a node until it is told to stop.
+
+    :param path: settings file of the platform
+    """
+    install_logs(LogHandler(time.monotonic, sys.stdout))
+    cfg = read_settings(path)
+    if isinstance(cfg, Failure):
+        log.error("{}", cfg.reason)
+        return ExitStatus.USAGE
+    # What the imports created stays until the end; collections need not
+    # look at it again and again.
+    gc.freeze()
+    return asyncio.run(_run(cfg))
+
+
+async def _run(cfg: GatewaySettings) -> ExitStatus:
+    stopped = asyncio.Event()
+    gateway = build_gateway(cfg, stopped.set)
+    fault = await gateway.open()
+    if fault is not None:
+        log.error("{}", fault.reason)
+        return ExitStatus.ERROR
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, gateway.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, log.info, "settings unchanged")
+    log.info("started node={} data_centre={}", cfg.node, cfg.data_centre)
+    status = await _supervise(gateway, stopped)
+    await gateway.close()
+    log.info("ended status={}", status.name.lower())
+    return status
+
+
+async def _supervise(gateway: Gateway, stopped: asyncio.Event) -> ExitStatus:
+    """Run all tasks until the node has stopped or one of them fails."""
+    tasks = [asyncio.ensure_future(run()) for run in gateway.runs]
+    stop = asyncio.ensure_future(stopped.wait())
+    done, _ = await asyncio.wait(
+        [stop, *tasks], return_when=asyncio.FIRST_COMPLETED
+    )
+    for task in (stop, *tasks):
+        task.cancel()
+    results = await asyncio.gather(stop, *tasks, return_exceptions=True)
+    if stop in done:
+        return ExitStatus.SUCCESS
+    for result in results:
+        if isinstance(result, Exception):
+            log.error(
+                "a task failed",
+                exc_info=(type(result), result, result.__traceback__),
+            )
+    return ExitStatus.ERROR
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/__init__.py
@@ -0,0 +1,1 @@
+"""Queries over all shards of a route."""
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/decide.py
@@ -0,0 +1,166 @@
+"""Decisions of a query over all shards: repeat, wait or answer.
+
+The worth of an answer within the objective grows with the square of the
+covered share, and waiting costs nothing until then. So a query waits for all
+parts until the last moment at which its answer still meets the objective,
+and answers there if enough parts are in. After that moment it answers with
+the first set of parts that suffices.
+"""
+
+from dataclasses import dataclass
+from dataclasses import replace
+
+from kumquatchute_model.errors import ErrorKind
+from kumquatchute_model.errors import Failure
+from kumquatchuted.gather.messages import Action
+from kumquatchuted.gather.messages import Event
+from kumquatchuted.gather.messages import Finish
+from kumquatchuted.gather.messages import SendAll
+from kumquatchuted.gather.messages import SendShard
+from kumquatchuted.gather.messages import ShardDone
+from kumquatchuted.gather.messages import ShardSent
+from kumquatchuted.gather.messages import Started
+from kumquatchuted.gather.messages import Woken
+from kumquatchuted.retries import progress as pg
+from kumquatchuted.searchers.messages import Refusal
+
+# Ratios such as 0.85 * 20 are not exact in binary.
+ROUNDING = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What stays the same during a query.
+
+    :param answer_at: when an answer must leave to meet the objective
+    :param give_up_at: when the caller must have an answer
+    :param min_coverage: least share of shards in an answer
+    """
+
+    shards: int
+    policy: pg.Policy
+    answer_at: float
+    give_up_at: float
+    min_coverage: float
+
+
+@dataclass(frozen=True, slots=True)
+class QueryState:
+    """Progress of each shard; times are monotonic seconds."""
+
+    plan: Plan
+    shards: tuple[pg.Progress, ...]
+
+
+def start(plan: Plan) -> QueryState:
+    """Return the state before anything is sent."""
+    return QueryState(plan, (pg.Progress(),) * plan.shards)
+
+
+def decide(
+    state: QueryState, event: Event, now: float
+) -> tuple[QueryState, tuple[Action, ...]]:
+    """Return the state after an event and what is to be done."""
+    actions: tuple[Action, ...] = ()
+    match event:
+        case Started():
+            shards = tuple(pg.ordered(item) for item in state.shards)
+            return replace(state, shards=shards), (
+                SendAll(least_shards(state.plan)),
+            )
+        case ShardSent(shard=shard, searcher=searcher, late_s=late_s):
+            item = pg.chosen(state.shards[shard], searcher, now + late_s)
+            return _with_shard(state, shard, item), ()
+        case ShardDone(shard=shard, result=result):
+            state, actions = _shard_done(state, shard, result)
+        case Woken():
+            state, actions = _repeat_late(state, now)
+    finish = _finish(state, now)
+    return state, actions if finish is None else (finish,)
+
+
+def next_wake(state: QueryState, now: float) -> float:
+    """Return when ``Woken`` is due."""
+    plan = state.plan
+    due = plan.answer_at if now < plan.answer_at else plan.give_up_at
+    for item in state.shards:
+        if (
+            item.reply is None
+            and item.late_at is not None
+            and item.late_at < due
+            and pg.may_send_again(item, plan.policy)
+        ):
+            due = item.late_at
+    return due
+
+
+def least_shards(plan: Plan) -> int:
+    """Return how many shards a successful answer must cover."""
+    least = 1
+    while (least / plan.shards) < plan.min_coverage - ROUNDING:
+        least += 1
+    return least
+
+
+def _shard_done(
+    state: QueryState, shard: int, result: object
+) -> tuple[QueryState, tuple[Action, ...]]:
+    item, repeat = pg.finished(state.shards[shard], result, state.plan.policy)
+    if repeat is None:
+        return _with_shard(state, shard, item), ()
+    return _with_shard(state, shard, pg.ordered(item)), (
+        SendShard(shard, item.tried, repeat.needs_allowance),
+    )
+
+
+def _repeat_late(
+    state: QueryState, now: float
+) -> tuple[QueryState, tuple[Action, ...]]:
+    actions = []
+    for shard, item in enumerate(state.shards):
+        if pg.is_late(item, state.plan.policy, now):
+            state = _with_shard(state, shard, pg.ordered(item))
+            actions.append(SendShard(shard, item.tried, is_repeat=True))
+    return state, tuple(actions)
+
+
+def _finish(state: QueryState, now: float) -> Finish | None:
+    plan = state.plan
+    parts = tuple(
+        item.reply for item in state.shards if item.reply is not None
+    )
+    open_ = sum(1 for item in state.shards if not item.is_settled())
+    least = least_shards(plan)
+    enough = len(parts) >= least
+    if enough and (open_ == 0 or now >= plan.answer_at):
+        return Finish(parts, plan.shards - len(parts))
+    if len(parts) + open_ < least:
+        return Finish((), plan.shards, _too_few(state))
+    if now >= plan.give_up_at:
+        reason = f"{len(parts)} of {plan.shards} shards answered in time"
+        failure = Failure(ErrorKind.DEADLINE_EXCEEDED, reason)
+        return Finish((), plan.shards, failure)
+    return None
+
+
+def _too_few(state: QueryState) -> Failure:
+    failed = [item for item in state.shards if item.reply is None]
+    ran = any(
+        item.may_have_run or item.reply is not None for item in state.shards
+    )
+    refused = sum(1 for item in failed if isinstance(item.failure, Refusal))
+    reason = (
+        f"{len(failed)} of {state.plan.shards} shards have no answer,"
+        f" {refused} of them no usable searcher"
+    )
+    in_flight = any(item.pending for item in state.shards)
+    if ran or in_flight:
+        return Failure(ErrorKind.TARGET_FAILED, reason)
+    return Failure(ErrorKind.UNAVAILABLE, reason, not_run=True)
+
+
+def _with_shard(
+    state: QueryState, shard: int, item: pg.Progress
+) -> QueryState:
+    shards = state.shards
+    return replace(state, shards=(*shards[:shard], item, *shards[shard + 1 :]))
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/merge.py
@@ -0,0 +1,22 @@
+"""Merge of the records of several shards."""
+
+from collections.abc import Iterable
+
+RECORD_BYTES = 16
+
+
+def merge_records(bodies: Iterable[bytes], top: int) -> bytes:
+    """Return the greatest records of all bodies, greatest first.
+
+    :param bodies: records in any order; a shorter rest is no record
+    :param top: most records in the result; equal records all count
+    """
+    records = []
+    for body in bodies:
+        whole = len(body) - len(body) % RECORD_BYTES
+        records += [
+            body[at : at + RECORD_BYTES]
+            for at in range(0, whole, RECORD_BYTES)
+        ]
+    records.sort(reverse=True)
+    return b"".join(records[:top])
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/messages.py
@@ -0,0 +1,76 @@
+"""Events and actions of a query over all shards of a route."""
+
+from dataclasses import dataclass
+
+from kumquatchute_model.errors import Failure
+from kumquatchuted.searchers.messages import Lost
+from kumquatchuted.searchers.messages import Refusal
+from kumquatchuted.searchers.messages import Reply
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """The query was admitted."""
+
+
+@dataclass(frozen=True, slots=True)
+class ShardSent:
+    """A searcher was chosen for an attempt.
+
+    :param late_s: time after which its answer is late, in seconds
+    """
+
+    shard: int
+    searcher: str
+    late_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ShardDone:
+    """The result of an attempt."""
+
+    shard: int
+    result: Reply | Lost | Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class Woken:
+    """The time of ``next_wake`` has come."""
+
+
+Event = Started | ShardSent | ShardDone | Woken
+
+
+@dataclass(frozen=True, slots=True)
+class SendAll:
+    """Send the query to a searcher of each shard, or to none.
+
+    :param least: number of shards that must have a usable searcher
+    """
+
+    least: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendShard:
+    """Send the query to another searcher of a shard."""
+
+    shard: int
+    exclude: tuple[str, ...]
+    is_repeat: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """End the query with an answer or a failure.
+
+    :param parts: answers of the shards that are included
+    :param missing: number of shards without one
+    """
+
+    parts: tuple[Reply, ...]
+    missing: int
+    failure: Failure | None = None
+
+
+Action = SendAll | SendShard | Finish
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -0,0 +1,161 @@
+"""The task of one query over all shards."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+import itertools
+
+from kumquatchuted.gather.decide import decide
+from kumquatchuted.gather.decide import next_wake
+from kumquatchuted.gather.decide import Plan
+from kumquatchuted.gather.decide import start
+from kumquatchuted.gather.messages import Action
+from kumquatchuted.gather.messages import Event
+from kumquatchuted.gather.messages import Finish
+from kumquatchuted.gather.messages import SendAll
+from kumquatchuted.gather.messages import SendShard
+from kumquatchuted.gather.messages import ShardDone
+from kumquatchuted.gather.messages import ShardSent
+from kumquatchuted.gather.messages import Started
+from kumquatchuted.gather.messages import Woken
+from kumquatchuted.mailbox import Mailbox
+from kumquatchuted.mailbox import Post
+from kumquatchuted.retries.progress import Policy
+from kumquatchuted.routing.messages import AllShards
+from kumquatchuted.routing.messages import Route
+from kumquatchuted.searchers.messages import AbandonAttempt
+from kumquatchuted.searchers.messages import AttemptDone
+from kumquatchuted.searchers.messages import AttemptSent
+from kumquatchuted.searchers.messages import Outgoing
+from kumquatchuted.searchers.messages import SendAttempt
+from kumquatchuted.searchers.messages import SendShards
+
+# A searcher that is about to answer does not lose its connection for it; one
+# that takes longer is stopped, because its slot is needed.
+LINGER_S = 0.06
+
+
+# Keys stay unique after a task has ended, because late answers still come.
+_numbers = itertools.count()
+
+
+@dataclass(frozen=True, slots=True)
+class QueryKey:
+    """Names an attempt of a query."""
+
+    query: int
+    shard: int
+    attempt: int
+
+
+class GatherTask:
+    """Owns the state of one query; runs in the task of its caller."""
+
+    def __init__(
+        self,
+        route: Route,
+        destination: AllShards,
+        outgoing: Outgoing,
+        answer_at: float,
+        give_up_at: float,
+        post: Post,
+        clock: Callable[[], float],
+    ) -> None:
+        """Create the task.
+
+        :param answer_at: last moment for an answer within the objective
+        :param give_up_at: when the caller must have an answer
+        :param post: mailbox of the task of searchers
+        """
+        self.mailbox = Mailbox()
+        self.attempts = 0
+        self._number = next(_numbers)
+        self._route = route
+        self._shards = destination.shards
+        self._outgoing = outgoing
+        self._post = post
+        self._clock = clock
+        self._pending: set[QueryKey] = set()
+        self._state = start(
+            Plan(
+                len(destination.shards),
+                Policy(route.max_attempts, runs_once=False),
+                answer_at,
+                give_up_at,
+                destination.min_coverage,
+            )
+        )
+
+    async def run(self) -> Finish:
+        """Run the query; a cancellation withdraws what is under way."""
+        linger_s = 0.0
+        try:
+            finish = await self._run()
+            linger_s = LINGER_S
+            return finish
+        finally:
+            for key in self._pending:
+                self._post(AbandonAttempt(key, linger_s))
+
+    async def _run(self) -> Finish:
+        finish = self._step(Started())
+        while finish is None:
+            event = await self._next_event()
+            finish = None if event is None else self._step(event)
+        return finish
+
+    async def _next_event(self) -> Event | None:
+        now = self._clock()
+        wait_s = max(0.0, next_wake(self._state, now) - now)
+        try:
+            message = self.mailbox.get_nowait()
+        except asyncio.QueueEmpty:
+            try:
+                async with asyncio.timeout(wait_s):
+                    message = await self.mailbox.get()
+            except TimeoutError:
+                return Woken()
+        match message:
+            case AttemptSent(key=key, searcher=searcher, late_s=late_s):
+                return ShardSent(key.shard, searcher, late_s)
+            case AttemptDone(key=key, result=result):
+                self._pending.discard(key)
+                return ShardDone(key.shard, result)
+        return None
+
+    def _step(self, event: Event) -> Finish | None:
+        self._state, actions = decide(self._state, event, self._clock())
+        for action in actions:
+            if isinstance(action, Finish):
+                return action
+            self._carry_out(action)
+        return None
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case SendAll(least=least):
+                orders = tuple(
+                    self._order(shard, (), is_repeat=False)
+                    for shard in range(len(self._shards))
+                )
+                self._post(SendShards(orders, least))
+            case SendShard(shard=shard, exclude=exclude, is_repeat=repeat):
+                self._post(self._order(shard, exclude, repeat))
+
+    def _order(
+        self, shard: int, exclude: tuple[str, ...], is_repeat: bool
+    ) -> SendAttempt:
+        self.attempts += 1
+        key = QueryKey(self._number, shard, self.attempts)
+        self._pending.add(key)
+        return SendAttempt(
+            key=key,
+            route=self._route,
+            service=self._shards[shard],
+            outgoing=self._outgoing,
+            deadline=self._state.plan.give_up_at,
+            exclude=exclude,
+            runs_once=False,
+            is_repeat=is_repeat,
+            reply_to=self.mailbox.post,
+        )
--- a/packages/kumquatchuted/src/kumquatchuted/http/server.py
+++ b/packages/kumquatchuted/src/kumquatchuted/http/server.py
@@ -38,6 +38,9 @@
     complete, so that dead connections would stay open for ever.
     """
 
+    max_head_bytes = MAX_HEAD_BYTES
+    head_timeout_s = HEAD_TIMEOUT_S
+    idle_timeout_s: float = KEEP_ALIVE_S
     _in_head = True
     _head_bytes = 0
     _head_timer: asyncio.TimerHandle | None = None
@@ -45,7 +48,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Wait for the first request as long as for a later one."""
         super().connection_made(transport)
-        self._end_after(KEEP_ALIVE_S)
+        self._end_after(self.idle_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer."""
@@ -58,14 +61,14 @@
         if not self._in_head:
             return
         self._head_bytes += len(data)
-        if self._head_bytes > MAX_HEAD_BYTES:
+        if self._head_bytes > self.max_head_bytes:
             self.transport.abort()
 
     def on_message_begin(self) -> None:
         """Start to count the bytes and the time of a head."""
         self._in_head = True
         self._head_bytes = 0
-        self._end_after(HEAD_TIMEOUT_S)
+        self._end_after(self.head_timeout_s)
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Shares of limits that all nodes have to keep together."""
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/shares.py
@@ -0,0 +1,48 @@
+"""This node's share of limits that all nodes keep together.
+
+Nodes do not ask each other before they send. Each takes a share that it can
+work out from the list of nodes, so that the limit holds through pauses,
+partitions and restarts.
+"""
+
+from collections.abc import Iterable
+import math
+
+import xxhash
+
+# Part of a limit that is given out. The rest covers nodes that have not yet
+# seen a change of the list of nodes.
+GIVEN_OUT = 0.8
+
+
+def cold_tokens(
+    node: str, nodes: Iterable[str], searcher: str, fleet_limit: float
+) -> int:
+    """Return how many requests this node may send in any second.
+
+    The whole requests of the limit are dealt to the nodes by rendezvous
+    hashing, so that a limit below the number of nodes is not lost to
+    rounding: some nodes get one request a second and the others none.
+
+    :param searcher: name of the cold searcher
+    :param fleet_limit: requests per second from all nodes together
+    """
+    tokens = math.floor(fleet_limit * GIVEN_OUT)
+    names = set(nodes) | {node}
+    whole, rest = divmod(tokens, len(names))
+    if not rest:
+        return whole
+    ranked = sorted(
+        names,
+        key=lambda name: xxhash.xxh64_intdigest(f"{searcher}/{name}"),
+    )
+    return whole + (node in ranked[:rest])
+
+
+def connection_share(nodes: Iterable[str], fleet_limit: int) -> int:
+    """Return how many connections to one searcher this node may hold.
+
+    :param fleet_limit: connections that the searcher accepts
+    """
+    count = max(1, len(set(nodes)))
+    return max(1, math.floor(fleet_limit * GIVEN_OUT / count))
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/__init__.py
@@ -0,0 +1,1 @@
+"""What the node knows of searchers, nodes and evacuated data centres."""
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/task.py
@@ -0,0 +1,157 @@
+"""The task that owns what the node knows of the fleet and the manifest."""
+
+import asyncio
+from collections.abc import Callable
+
+from logbook import Logger
+
+from kumquatchuted.mailbox import Mailbox
+from kumquatchuted.mailbox import Post
+from kumquatchuted.membership.messages import MembersChanged
+from kumquatchuted.membership.messages import StoreLost
+from kumquatchuted.membership.messages import StoreRegained
+from kumquatchuted.membership.messages import Topic
+from kumquatchuted.membership.messages import TopicChanged
+from kumquatchuted.membership.messages import TopicListed
+from kumquatchuted.membership import registry as reg
+from kumquatchuted.routing.acceptance import newest
+from kumquatchuted.routing.messages import Manifest
+from kumquatchuted.routing.messages import ManifestChanged
+
+log = Logger("membership")
+
+
+class MembershipTask:
+    """Owns the registry, the manifest and the evacuations."""
+
+    def __init__(
+        self, posts: tuple[Post, ...], clock: Callable[[], float]
+    ) -> None:
+        """Create the task.
+
+        :param posts: tasks that receive each change
+        :param clock: monotonic time in seconds
+        """
+        self.mailbox = Mailbox()
+        self._posts = posts
+        self._clock = clock
+        self._registry = reg.EMPTY
+        self._manifest: Manifest | None = None
+        self._evacuated: frozenset[str] = frozenset()
+        self._nodes: frozenset[str] = frozenset()
+        self._lost: set[Topic] = set()
+
+    async def run(self) -> None:
+        """Apply messages and expire searchers until cancelled."""
+        while True:
+            try:
+                message = await asyncio.wait_for(
+                    self.mailbox.get(), self._patience()
+                )
+            except TimeoutError:
+                message = None
+            before = (self._registry, self._evacuated, self._nodes)
+            if message is not None:
+                self._apply(message)
+            self._registry = reg.expire(self._registry, self._clock())
+            if before != (self._registry, self._evacuated, self._nodes):
+                self._publish()
+
+    def _patience(self) -> float | None:
+        expiry = reg.next_expiry(self._registry)
+        return None if expiry is None else max(0.0, expiry - self._clock())
+
+    def _apply(self, message: object) -> None:
+        now = self._clock()
+        match message:
+            case TopicListed(topic=Topic.SEARCHERS, objects=objects):
+                self._registry = reg.list_searchers(
+                    self._registry, objects, now
+                )
+                log.info("searchers listed count={}", len(objects))
+            case TopicChanged(topic=Topic.SEARCHERS) as change:
+                self._log_searchers(change)
+                self._registry = reg.change_searchers(
+                    self._registry, change.written, change.removed, now
+                )
+            case TopicListed(topic=Topic.MANIFEST, objects=objects):
+                self._accept(objects)
+            case TopicChanged(topic=Topic.MANIFEST, written=written):
+                self._accept(written)
+            case TopicListed(topic=Topic.EVACUATIONS, objects=objects):
+                self._evacuate(frozenset(item.name for item in objects))
+            case TopicChanged(topic=Topic.EVACUATIONS) as change:
+                names = {item.name for item in change.written}
+                self._evacuate((self._evacuated | names) - set(change.removed))
+            case TopicListed(topic=Topic.NODES, objects=objects):
+                self._nodes = frozenset(item.name for item in objects)
+                log.info("nodes listed count={}", len(self._nodes))
+            case TopicChanged(topic=Topic.NODES) as change:
+                names = {item.name for item in change.written}
+                self._nodes = (self._nodes | names) - set(change.removed)
+            case StoreLost(topic=topic, reason=reason):
+                self._store_lost(topic, reason)
+            case StoreRegained(topic=topic):
+                self._store_regained(topic, now)
+
+    def _accept(self, objects: tuple) -> None:
+        for item in objects:
+            if not isinstance(item.value, Manifest):
+                if item.value is None:
+                    log.warning("manifest rejected name={}", item.name)
+                continue
+            accepted = newest(self._manifest, item.value)
+            if accepted is self._manifest:
+                continue
+            log.info(
+                "manifest in force version={} former={} routes={}",
+                accepted.version,
+                self._manifest and self._manifest.version,
+                len(accepted.routes),
+            )
+            self._manifest = accepted
+            for post in self._posts:
+                post(ManifestChanged(accepted))
+
+    def _evacuate(self, data_centres: frozenset[str]) -> None:
+        if data_centres != self._evacuated:
+            log.info("evacuated data_centres={}", sorted(data_centres))
+        self._evacuated = data_centres
+
+    def _store_lost(self, topic: Topic, reason: str) -> None:
+        if topic not in self._lost:
+            log.warning("store lost topic={} cause={}", topic.value, reason)
+        self._lost.add(topic)
+        if topic is Topic.SEARCHERS:
+            self._registry = reg.store_lost(self._registry)
+
+    def _store_regained(self, topic: Topic, now: float) -> None:
+        log.info("store regained topic={}", topic.value)
+        self._lost.discard(topic)
+        if topic is Topic.SEARCHERS:
+            self._registry = reg.store_regained(self._registry, now)
+
+    def _log_searchers(self, change: TopicChanged) -> None:
+        for item in change.written:
+            if item.value is None:
+                log.warning("entry rejected searcher={}", item.name)
+            else:
+                log.info(
+                    "searcher={} service={} state={} cold_s={}",
+                    item.name,
+                    item.value.service,
+                    item.value.state.value,
+                    item.value.cold_left_s,
+                )
+        for name in change.removed:
+            log.info("entry removed searcher={}", name)
+
+    def _publish(self) -> None:
+        message = MembersChanged(
+            self._registry.searchers,
+            self._registry.seen_at,
+            self._evacuated,
+            self._nodes,
+        )
+        for post in self._posts:
+            post(message)
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/callers.py
@@ -0,0 +1,106 @@
+"""Decodes callers' requests and encodes their answers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from kumquatchuted.searchers.messages import Outgoing
+from kumquatchuted.searchers.messages import Reply
+
+ID_HEADER = b"x-request-id"
+DEADLINE_HEADER = b"x-deadline-ms"
+MS_PER_S = 1000
+# Headers that concern the caller's connection or that nodes set themselves.
+NOT_FOR_SEARCHERS = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"x-deadline-ms",
+        b"x-expect-instance",
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request as far as its destination depends on it.
+
+    :param path: as sent, without the query
+    :param patience_s: time for which the caller waits, in seconds; None if
+        it does not say
+    """
+
+    host: str
+    path: str
+    request_id: str
+    patience_s: float | None
+    outgoing: Outgoing
+
+
+def decode_request(
+    method: str,
+    path: bytes,
+    query: bytes,
+    headers: Iterable[tuple[bytes, bytes]],
+    body: bytes,
+) -> CallerRequest:
+    """Decode a request.
+
+    :param path: raw path, still percent-encoded
+    :param headers: names in lower case
+    """
+    host = request_id = b""
+    patience_s = None
+    has_body = bool(body)
+    target = path + b"?" + query if query else path
+    lines = [b"%s %s HTTP/1.1\r\n" % (method.encode(), target)]
+    for name, value in headers:
+        if name == b"host":
+            host = value
+        elif name == ID_HEADER:
+            request_id = value
+        elif name == DEADLINE_HEADER:
+            patience_s = _seconds(value)
+        elif name == b"content-length":
+            has_body = True
+        if name not in NOT_FOR_SEARCHERS:
+            lines.append(b"%s: %s\r\n" % (name, value))
+    if has_body:
+        lines.append(b"content-length: %d\r\n" % len(body))
+    return CallerRequest(
+        host=host.decode("latin-1"),
+        path=path.decode("latin-1"),
+        request_id=request_id.decode("latin-1"),
+        patience_s=patience_s,
+        outgoing=Outgoing(request_id, method.encode(), b"".join(lines), body),
+    )
+
+
+def encode_coverage(
+    parts: Iterable[Reply], missing: int
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers that state what a merged answer covers."""
+    stamps = ",".join(part.stamp.decode("latin-1") for part in parts)
+    headers = [("X-Part-Stamps", stamps)]
+    if missing:
+        headers.append(("X-Missing-Parts", str(missing)))
+    return tuple(headers)
+
+
+def encode_retry_after(seconds: float) -> tuple[str, str]:
+    """Return the header that tells when a new attempt may succeed."""
+    return "Retry-After", f"{seconds:.3f}"
+
+
+def _seconds(value: bytes) -> float | None:
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number / MS_PER_S if 0 <= number < 1e9 else None
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Allowance for requests that are sent a second time."""
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/progress.py
@@ -0,0 +1,150 @@
+"""The attempts for one service: when to repeat and when to give up."""
+
+from dataclasses import dataclass
+from dataclasses import replace
+
+from kumquatchuted.searchers.messages import Lost
+from kumquatchuted.searchers.messages import Refusal
+from kumquatchuted.searchers.messages import Reply
+
+# Attempts that reached no searcher do not count as attempts, but a service
+# without a reachable searcher must not be tried for ever.
+MAX_UNSENT = 4
+# Statuses that promise the caller that the request did not run.
+PROMISES = (408, 421, 429, 503)
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """How often a request may be sent.
+
+    :param max_attempts: most searchers that may receive it
+    :param runs_once: whether it must not run twice
+    """
+
+    max_attempts: int
+    runs_once: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """Attempts for one service.
+
+    :param tried: searchers that were chosen
+    :param sent: attempts that may have reached a searcher
+    :param unsent: attempts that reached none
+    :param pending: attempts without a result
+    :param late_at: when one more attempt is due, in monotonic seconds
+    :param reply: answer that ends the attempts
+    :param failure: latest result that is no such answer
+    :param may_have_run: whether a searcher may have run the request
+    """
+
+    tried: tuple[str, ...] = ()
+    sent: int = 0
+    unsent: int = 0
+    pending: int = 0
+    late_at: float | None = None
+    reply: Reply | None = None
+    failure: Reply | Lost | Refusal | None = None
+    may_have_run: bool = False
+
+    def is_settled(self) -> bool:
+        """Return whether no further result is to come."""
+        return self.reply is not None or self.pending == 0
+
+
+@dataclass(frozen=True, slots=True)
+class Repeat:
+    """Send one more attempt.
+
+    :param needs_allowance: whether a searcher may have received an earlier
+        one, so that this is a repeated send
+    """
+
+    needs_allowance: bool
+
+
+def ordered(progress: Progress) -> Progress:
+    """Return the state after an attempt was ordered."""
+    return replace(progress, pending=progress.pending + 1, late_at=None)
+
+
+def chosen(progress: Progress, searcher: str, late_at: float) -> Progress:
+    """Return the state after a searcher was chosen for an attempt."""
+    return replace(
+        progress,
+        tried=(*progress.tried, searcher),
+        sent=progress.sent + 1,
+        late_at=late_at,
+    )
+
+
+def finished(
+    progress: Progress, result: Reply | Lost | Refusal, policy: Policy
+) -> tuple[Progress, Repeat | None]:
+    """Return the state after a result, and whether to send again."""
+    if progress.reply is not None:
+        return progress, None
+    progress = replace(progress, pending=progress.pending - 1)
+    match result:
+        case Reply() if _is_final(result):
+            return replace(progress, reply=result, late_at=None), None
+        case Reply(not_executed=True):
+            progress = replace(progress, failure=result)
+        case Reply():
+            progress = replace(progress, failure=result, may_have_run=True)
+        case Lost(sent=True):
+            progress = replace(
+                progress,
+                failure=_more_telling(progress, result),
+                may_have_run=True,
+            )
+        case Lost():
+            progress = replace(
+                progress,
+                failure=_more_telling(progress, result),
+                sent=progress.sent - 1,
+                unsent=progress.unsent + 1,
+            )
+        case Refusal():
+            return replace(
+                progress, failure=_more_telling(progress, result)
+            ), None
+    if not may_send_again(progress, policy):
+        return progress, None
+    return progress, Repeat(needs_allowance=progress.sent > 0)
+
+
+def may_send_again(progress: Progress, policy: Policy) -> bool:
+    """Return whether one more attempt is allowed."""
+    if policy.runs_once and (progress.may_have_run or progress.pending):
+        return False
+    return progress.sent < policy.max_attempts and progress.unsent < MAX_UNSENT
+
+
+def is_late(progress: Progress, policy: Policy, now: float) -> bool:
+    """Return whether an attempt is overdue and another one is allowed."""
+    return (
+        not policy.runs_once
+        and progress.reply is None
+        and progress.late_at is not None
+        and progress.late_at <= now
+        and may_send_again(progress, policy)
+    )
+
+
+def _is_final(reply: Reply) -> bool:
+    """Return whether the caller is given this answer of a searcher."""
+    if reply.not_executed or reply.status >= 500:
+        return False
+    return bool(reply.stamp) or reply.status >= 300
+
+
+def _more_telling(
+    progress: Progress, result: Lost | Refusal
+) -> Reply | Lost | Refusal:
+    """Keep a searcher's own answer over the lack of one."""
+    if isinstance(progress.failure, Reply):
+        return progress.failure
+    return result
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/routing/messages.py
@@ -0,0 +1,114 @@
+"""Data classes of the manifest that operators have accepted."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """A service and its share of the requests of a route.
+
+    :param weight: relative to the weights of the same route
+    """
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class OneService:
+    """Each request goes to one searcher of a service."""
+
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class SplitServices:
+    """Each request goes to one searcher of one of several services."""
+
+    services: tuple[WeightedService, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AllShards:
+    """Each request goes to one searcher of every shard.
+
+    :param shards: a service for each shard
+    :param top: number of records in an answer
+    :param min_coverage: least share of shards in a successful answer
+    """
+
+    shards: tuple[str, ...]
+    top: int
+    min_coverage: float
+
+
+Destination = OneService | SplitServices | AllShards
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where the requests of a host and a path prefix go.
+
+    :param idempotent: whether a request may run more than once
+    :param timeout_s: longest time until the answer, in seconds
+    :param objective_s: latency objective in seconds
+    :param priority: 0 is the most urgent
+    :param max_attempts: most searchers for one request, or for each shard
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout_s: float
+    objective_s: float
+    priority: int
+    max_attempts: int
+    destination: Destination
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """Limits of the searchers of a service.
+
+    :param max_connections: per searcher, from all nodes together
+    :param warmup_s: how long a searcher is cold after a start, in seconds
+    :param cold_per_s: requests per second that a cold searcher sustains
+    """
+
+    name: str
+    max_connections: int
+    warmup_s: float
+    cold_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send and how long it may take.
+
+    :param header_timeout_s: time for a request head, in seconds
+    :param idle_timeout_s: time between two requests, in seconds
+    """
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Manifest:
+    """One version of the configuration, in full."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, ServiceSpec]
+    limits: CallerLimits
+
+
+@dataclass(frozen=True, slots=True)
+class ManifestChanged:
+    """A newer manifest is in force on this node."""
+
+    manifest: Manifest
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/routing/split.py
@@ -0,0 +1,38 @@
+"""Distribution of the requests of a route over weighted services."""
+
+from dataclasses import dataclass
+
+from kumquatchuted.routing.messages import WeightedService
+
+
+@dataclass(frozen=True, slots=True)
+class SplitState:
+    """Credit of each service, in the order of the route."""
+
+    services: tuple[WeightedService, ...]
+    credits: tuple[float, ...]
+
+
+def start_split(services: tuple[WeightedService, ...]) -> SplitState:
+    """Return the state before the first request."""
+    return SplitState(services, (0.0,) * len(services))
+
+
+def next_service(state: SplitState) -> tuple[SplitState, str]:
+    """Choose the service of the next request by smooth weighted round robin.
+
+    Each service gains its weight and the chosen one pays the sum, so that
+    every stretch of requests keeps the proportions. A random choice would
+    miss them on a route with few requests.
+    """
+    total = sum(item.weight for item in state.services)
+    gained = [
+        credit + item.weight
+        for credit, item in zip(state.credits, state.services)
+    ]
+    chosen = max(range(len(gained)), key=gained.__getitem__)
+    gained[chosen] -= total
+    return (
+        SplitState(state.services, tuple(gained)),
+        state.services[chosen].service,
+    )
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/routing/table.py
@@ -0,0 +1,44 @@
+"""Match of a request to a route of the manifest."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from kumquatchuted.routing.messages import Manifest
+from kumquatchuted.routing.messages import Route
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """Routes by host, those with the longest prefix first."""
+
+    version: int
+    by_host: Mapping[str, tuple[Route, ...]]
+
+
+def build_table(manifest: Manifest) -> RouteTable:
+    """Sort the routes of a manifest for ``find_route``."""
+    by_host: dict[str, list[Route]] = {}
+    for route in manifest.routes:
+        by_host.setdefault(route.host.lower(), []).append(route)
+    return RouteTable(
+        manifest.version,
+        {
+            host: tuple(
+                sorted(routes, key=lambda r: len(r.prefix), reverse=True)
+            )
+            for host, routes in by_host.items()
+        },
+    )
+
+
+def find_route(table: RouteTable, host: str, path: str) -> Route | None:
+    """Return the route with the longest prefix of the path.
+
+    :param host: Host header, with or without a port
+    :param path: path as the caller sent it, without the query
+    """
+    name = host.partition(":")[0].lower()
+    for route in table.by_host.get(name, ()):
+        if path.startswith(route.prefix):
+            return route
+    return None
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to searchers, their load and the choice among them."""
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
@@ -0,0 +1,228 @@
+"""One HTTP/1.1 connection to a searcher, parsed by httptools.
+
+aiohttp does not tell which bytes followed an answer, repeats requests on its
+own and cannot skip the late answer to an earlier request. The at-most-once
+rule and the rule that an answer belongs to its request depend on all three.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from httptools import HttpParserError
+from httptools import HttpResponseParser
+
+# Statuses whose answers have no body whatever their headers say.
+BODILESS = (204, 304)
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class RawReply:
+    """A complete answer as it was received; header names in lower case."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """The request that waits for its answer on a connection.
+
+    :param key: attempt that the answer belongs to
+    :param request_id: expected in the answer
+    :param has_body: False for a method whose answers have no body
+    """
+
+    key: object
+    request_id: bytes
+    has_body: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """The connection is established."""
+
+    connection: "Connection"
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A complete answer came.
+
+    :param is_reusable: whether another request may follow
+    """
+
+    connection: "Connection"
+    key: object
+    reply: RawReply
+    is_reusable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The connection is closed.
+
+    :param key: attempt that has no answer; None if none waited
+    :param reason: for the log
+    """
+
+    connection: "Connection"
+    key: object | None
+    reason: str
+
+
+class Connection(asyncio.Protocol):
+    """Owns a transport; posts what happens on it."""
+
+    def __init__(
+        self, searcher: str, id_header: bytes, post: Callable
+    ) -> None:
+        """Create the protocol of a connection that is being opened.
+
+        :param searcher: name of the searcher
+        :param id_header: header that echoes the id of a request, lower case
+        """
+        self.searcher = searcher
+        self.is_first_use = True
+        self.waiting_key: object | None = None
+        self.idle_since = 0.0
+        self.idle_limit_s: float | None = None
+        self._id_header = id_header
+        self._post = post
+        self._transport: asyncio.Transport | None = None
+        self._exchange: Exchange | None = None
+        self._is_spoiled = False
+        self._finished: RawReply | None = None
+        self._reset_message()
+        self._parser = HttpResponseParser(self)
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Report that requests may be sent."""
+        self._transport = transport
+        self._post(Opened(self))
+
+    def send(self, exchange: Exchange, data: bytes) -> None:
+        """Send a request; its answer is posted as ``Answered``."""
+        self._exchange = exchange
+        self.is_first_use = False
+        self._transport.write(data)
+
+    def close(self) -> None:
+        """Drop the connection and whatever still waits on it."""
+        self._exchange = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def is_open(self) -> bool:
+        """Return whether a request can be sent."""
+        return self._transport is not None and not (
+            self._transport.is_closing()
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; any that follow a complete answer spoil it."""
+        if self._exchange is None:
+            self._is_spoiled = True
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError as exc:
+            self._is_spoiled = True
+            if self._finished is None:
+                self._end(f"no HTTP answer: {exc}")
+                return
+        self._deliver()
+
+    def eof_received(self) -> bool:
+        """Complete an answer that ends with its connection."""
+        if self._exchange is not None and self._is_unframed():
+            self._is_spoiled = True
+            self._complete()
+            self._deliver()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end."""
+        reason = "closed" if exc is None else type(exc).__name__
+        exchange, self._exchange = self._exchange, None
+        key = None if exchange is None else exchange.key
+        self._post(Ended(self, key, reason))
+
+    def on_message_begin(self) -> None:
+        """Start an answer (callback of the parser)."""
+        if self._finished is not None:
+            self._is_spoiled = True
+        self._reset_message()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header (callback of the parser)."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Keep the status (callback of the parser)."""
+        self._status = self._parser.get_status_code()
+        self._is_head_complete = True
+        if self._exchange is not None and not self._exchange.has_body:
+            # The parser expects the body that the headers announce.
+            self._is_spoiled = True
+            self._complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body (callback of the parser)."""
+        self._body.append(body)
+        self._size += len(body)
+        if self._size > MAX_BODY_BYTES:
+            self._end("the answer is too long")
+
+    def on_message_complete(self) -> None:
+        """Finish an answer (callback of the parser)."""
+        if self._status < 200:
+            return
+        if not self._parser.should_keep_alive():
+            self._is_spoiled = True
+        self._complete()
+
+    def _complete(self) -> None:
+        """Keep the answer if it belongs to the request that waits."""
+        if self._finished is not None or self._exchange is None:
+            return
+        echoed = [v for k, v in self._headers if k == self._id_header]
+        if any(value != self._exchange.request_id for value in echoed):
+            # A late second answer to an earlier request; ours may follow.
+            return
+        self._finished = RawReply(
+            self._status, tuple(self._headers), b"".join(self._body)
+        )
+
+    def _deliver(self) -> None:
+        """Post the answer after all bytes that came with it were parsed."""
+        if self._finished is None or self._exchange is None:
+            return
+        reply, exchange = self._finished, self._exchange
+        self._finished = self._exchange = None
+        reusable = not self._is_spoiled and self.is_open()
+        self._post(Answered(self, exchange.key, reply, reusable))
+        if not reusable:
+            self._transport.close()
+
+    def _end(self, reason: str) -> None:
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            self._post(Ended(self, exchange.key, reason))
+        self._transport.abort()
+
+    def _is_unframed(self) -> bool:
+        if not self._is_head_complete or self._status in BODILESS:
+            return False
+        names = {name for name, _ in self._headers}
+        return not names & {b"content-length", b"transfer-encoding"}
+
+    def _reset_message(self) -> None:
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._status = 0
+        self._is_head_complete = False
