Test the decisions of the platform's path and hash names as bytes

Ruled out: a rounding of shares. Change: names are encoded; tests of the decisions, each of which says what it guards against.

--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/tests/test_forward_decide.py
@@ -0,0 +1,57 @@
+"""What callers are told about requests for one searcher."""
+
+import pytest
+
+from kumquatchute_model.errors import ErrorKind
+from kumquatchuted.forward.decide import conclude
+from kumquatchuted.forward.decide import timed_out
+from kumquatchuted.retries.progress import Progress
+from kumquatchuted.searchers.messages import Lost
+from kumquatchuted.searchers.messages import Refusal
+from kumquatchuted.searchers.messages import Reply
+
+
+def reply(status: int, not_executed: bool = False) -> Reply:
+    """Return an answer with a digest."""
+    return Reply(status, b"stamp", b"", not_executed, False, ())
+
+
+def test_answer_of_a_searcher_is_passed_on() -> None:
+    """Guards against a status that no searcher gave."""
+    assert conclude(Progress(reply=reply(200)), True).reply == reply(200)
+    failed = Progress(failure=reply(500), may_have_run=True)
+    assert conclude(failed, False).reply == reply(500)
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_that_promises_not_run_is_not_passed_on(status: int) -> None:
+    """Guards against a caller that repeats a request which has run."""
+    progress = Progress(failure=reply(status), may_have_run=True)
+    end = conclude(progress, runs_once=True)
+    assert end.reply is None
+    assert end.failure.kind is ErrorKind.TARGET_FAILED
+    assert not end.failure.not_run
+
+
+def test_request_that_no_searcher_ran_is_refused_as_not_run() -> None:
+    """Guards against a failure that keeps callers from coming back."""
+    for failure in (reply(503, True), Refusal.BUSY, Lost("refused", False)):
+        end = conclude(Progress(failure=failure), runs_once=True)
+        assert end.failure.kind is ErrorKind.UNAVAILABLE
+        assert end.failure.not_run
+
+
+def test_lost_answer_promises_nothing() -> None:
+    """Guards against "not run" about a request whose answer was lost."""
+    progress = Progress(failure=Lost("reset", True), may_have_run=True)
+    end = conclude(progress, runs_once=True)
+    assert end.failure.kind is ErrorKind.TARGET_FAILED
+    assert not end.failure.not_run
+
+
+def test_time_limit_with_an_attempt_under_way_promises_nothing() -> None:
+    """Guards against "not run" about a request that runs later."""
+    end = timed_out(Progress(sent=1, pending=1))
+    assert end.failure.kind is ErrorKind.DEADLINE_EXCEEDED
+    assert not end.failure.not_run
+    assert timed_out(Progress()).failure.not_run
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
@@ -0,0 +1,126 @@
+"""Decisions of a query over all shards."""
+
+from kumquatchute_model.errors import ErrorKind
+from kumquatchuted.gather import decide as dc
+from kumquatchuted.gather.messages import Finish
+from kumquatchuted.gather.messages import SendAll
+from kumquatchuted.gather.messages import SendShard
+from kumquatchuted.gather.messages import ShardDone
+from kumquatchuted.gather.messages import ShardSent
+from kumquatchuted.gather.messages import Started
+from kumquatchuted.gather.messages import Woken
+from kumquatchuted.retries.progress import Policy
+from kumquatchuted.searchers.messages import Lost
+from kumquatchuted.searchers.messages import Refusal
+from kumquatchuted.searchers.messages import Reply
+
+SHARDS = 4
+ANSWER_AT = 0.1
+GIVE_UP_AT = 0.8
+
+
+def part(number: int) -> Reply:
+    """Return an answer that is named by its digest."""
+    return Reply(200, b"s%d" % number, b"", False, False, ())
+
+
+def started(min_coverage: float = 0.75) -> dc.QueryState:
+    """Return a query whose attempts were all sent at time 0."""
+    plan = dc.Plan(SHARDS, Policy(2, False), ANSWER_AT, GIVE_UP_AT, 0.0)
+    plan = dc.Plan(
+        SHARDS, Policy(2, False), ANSWER_AT, GIVE_UP_AT, min_coverage
+    )
+    state, actions = dc.decide(dc.start(plan), Started(), 0.0)
+    assert isinstance(actions[0], SendAll)
+    for shard in range(SHARDS):
+        sent = ShardSent(shard, f"a{shard}", late_s=0.03)
+        state, _ = dc.decide(state, sent, 0.0)
+    return state
+
+
+def answered(state: dc.QueryState, *shards: int) -> dc.QueryState:
+    """Return the query after answers that do not end it."""
+    for shard in shards:
+        state, actions = dc.decide(state, ShardDone(shard, part(shard)), 0.02)
+        assert not actions
+    return state
+
+
+def test_all_parts_end_the_query_at_once() -> None:
+    """Guards against a complete answer that is held back."""
+    state = answered(started(), 0, 1, 2)
+    _, actions = dc.decide(state, ShardDone(3, part(3)), 0.03)
+    assert actions == (Finish(tuple(part(n) for n in range(4)), 0),)
+
+
+def test_missing_parts_are_awaited_until_the_objective() -> None:
+    """Guards against an answer that leaves parts out without need."""
+    state = answered(started(), 0, 1, 2)
+    state, actions = dc.decide(state, Woken(), ANSWER_AT - 0.001)
+    assert not [item for item in actions if isinstance(item, Finish)]
+    _, actions = dc.decide(state, Woken(), ANSWER_AT)
+    assert actions[0].missing == 1
+    assert len(actions[0].parts) == 3
+
+
+def test_too_few_parts_are_awaited_beyond_the_objective() -> None:
+    """Guards against a late failure where a late answer is possible."""
+    state = answered(started(), 0, 1)
+    state, actions = dc.decide(state, Woken(), ANSWER_AT + 0.01)
+    assert not [item for item in actions if isinstance(item, Finish)]
+    _, actions = dc.decide(state, ShardDone(2, part(2)), 0.3)
+    assert actions == (Finish((part(0), part(1), part(2)), 1),)
+
+
+def test_late_shard_is_sent_to_another_searcher() -> None:
+    """Guards against one paused searcher that delays the whole query."""
+    state = answered(started(), 0, 1, 2)
+    assert dc.next_wake(state, 0.02) == 0.03
+    state, actions = dc.decide(state, Woken(), 0.03)
+    assert actions == (SendShard(3, ("a3",), is_repeat=True),)
+    assert dc.next_wake(state, 0.03) == ANSWER_AT
+
+
+def test_answer_of_either_attempt_counts_once() -> None:
+    """Guards against two parts of one shard in an answer."""
+    state = answered(started(), 0, 1, 2)
+    state, _ = dc.decide(state, Woken(), 0.03)
+    state, actions = dc.decide(state, ShardDone(3, part(3)), 0.04)
+    assert actions == (Finish(tuple(part(n) for n in range(4)), 0),)
+
+
+def test_query_that_cannot_be_served_fails_before_anything_is_sent() -> None:
+    """Guards against a refusal that says "not run" after a part ran."""
+    plan = dc.Plan(SHARDS, Policy(2, False), ANSWER_AT, GIVE_UP_AT, 0.75)
+    state, _ = dc.decide(dc.start(plan), Started(), 0.0)
+    for shard in (0, 1):
+        state, actions = dc.decide(
+            state, ShardDone(shard, Refusal.TOO_FEW), 0.0
+        )
+    failure = actions[0].failure
+    assert failure.kind is ErrorKind.TARGET_FAILED
+    for shard in (2, 3):
+        state, actions = dc.decide(
+            state, ShardDone(shard, Refusal.TOO_FEW), 0.0
+        )
+    assert actions[0].failure.kind is ErrorKind.UNAVAILABLE
+    assert actions[0].failure.not_run
+
+
+def test_time_limit_ends_the_query() -> None:
+    """Guards against a caller that waits for a searcher that is gone."""
+    state = answered(started(), 0, 1)
+    _, actions = dc.decide(state, Woken(), GIVE_UP_AT)
+    assert actions[0].failure.kind is ErrorKind.DEADLINE_EXCEEDED
+
+
+def test_lost_attempt_is_repeated_without_delay() -> None:
+    """Guards against the wait for a late time after a clear failure."""
+    state, actions = dc.decide(started(), ShardDone(1, Lost("reset", True)), 0)
+    assert actions == (SendShard(1, ("a1",), is_repeat=True),)
+
+
+def test_least_number_of_shards_is_not_lost_to_rounding() -> None:
+    """Guards against 0.85 of 20 shards that becomes 18."""
+    plan = dc.Plan(20, Policy(2, False), ANSWER_AT, GIVE_UP_AT, 0.85)
+    assert dc.least_shards(plan) == 17
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_merge.py
@@ -0,0 +1,24 @@
+"""Merge of the records of several shards."""
+
+from kumquatchuted.gather.merge import merge_records
+
+
+def record(number: int) -> bytes:
+    """Return a record that sorts by its number."""
+    return number.to_bytes(16, "big")
+
+
+def test_greatest_records_come_first_and_equal_ones_all_count() -> None:
+    """Guards against records that are dropped as duplicates."""
+    bodies = [record(3) + record(9), record(9) + record(1)]
+    assert merge_records(bodies, 3) == record(9) + record(9) + record(3)
+
+
+def test_rest_shorter_than_a_record_is_ignored() -> None:
+    """Guards against records that are cut at the wrong place."""
+    assert merge_records([record(5) + b"abc"], 10) == record(5)
+
+
+def test_fewer_records_than_asked_for_are_all_returned() -> None:
+    """Guards against an index error on small shards."""
+    assert merge_records([b"", record(1)], 20) == record(1)
--- a/packages/kumquatchuted/src/kumquatchuted/limits/shares.py
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/shares.py
@@ -34,7 +34,7 @@
         return whole
     ranked = sorted(
         names,
-        key=lambda name: xxhash.xxh64_intdigest(f"{searcher}/{name}"),
+        key=lambda name: xxhash.xxh64_intdigest(f"{searcher}/{name}".encode()),
     )
     return whole + (node in ranked[:rest])
 
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/tests/test_limits.py
@@ -0,0 +1,52 @@
+"""Shares of the limits that all nodes keep together."""
+
+import pytest
+
+from kumquatchuted.limits.rate import may_send
+from kumquatchuted.limits.rate import RecentSends
+from kumquatchuted.limits.rate import record_send
+from kumquatchuted.limits.rate import WINDOW_S
+from kumquatchuted.limits.shares import cold_tokens
+from kumquatchuted.limits.shares import connection_share
+
+
+@pytest.mark.parametrize("count", [1, 2, 4, 7, 12, 37, 300])
+@pytest.mark.parametrize("limit", [0.0, 3.0, 5.0, 12.5, 80.0])
+def test_cold_shares_never_exceed_the_limit(count: int, limit: float) -> None:
+    """Guards against a cold searcher that the whole fleet overloads."""
+    nodes = [f"n{number}" for number in range(count)]
+    shares = [cold_tokens(node, nodes, "i-1", limit) for node in nodes]
+    assert sum(shares) <= limit
+
+
+def test_cold_share_is_not_lost_to_rounding() -> None:
+    """Guards against a cold searcher that never gets a request."""
+    nodes = [f"n{number}" for number in range(37)]
+    shares = [cold_tokens(node, nodes, "i-1", 5.0) for node in nodes]
+    assert sum(shares) == 4
+
+
+def test_node_that_is_not_listed_yet_counts_itself() -> None:
+    """Guards against a division by no nodes at the first start."""
+    assert cold_tokens("n1", (), "i-1", 5.0) == 4
+    assert connection_share((), 26) == 20
+
+
+@pytest.mark.parametrize("count", [1, 4, 7, 20])
+def test_connection_shares_keep_the_cap(count: int) -> None:
+    """Guards against connections that a searcher resets."""
+    nodes = [f"n{number}" for number in range(count)]
+    assert count * connection_share(nodes, 26) <= 26
+
+
+def test_sends_of_any_second_keep_the_limit() -> None:
+    """Guards against bursts at the border of two counting periods."""
+    recent, sent = RecentSends(), []
+    for step in range(400):
+        now = step * 0.01
+        if may_send(recent, 2, now):
+            recent = record_send(recent, now)
+            sent.append(now)
+    for start in sent:
+        assert sum(start <= at < start + 1.0 for at in sent) <= 2
+    assert len(sent) >= 2 * int(4.0 / WINDOW_S)
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
@@ -0,0 +1,151 @@
+"""Followers of the store: lists, watches, outages, dead watches."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from kumquatchute_model.errors import ErrorKind
+from kumquatchute_model.errors import Failure
+from kumquatchuted.membership.follower import Follower
+from kumquatchuted.membership.messages import Stored
+from kumquatchuted.membership.messages import StoreLost
+from kumquatchuted.membership.messages import StoreRegained
+from kumquatchuted.membership.messages import Topic
+from kumquatchuted.membership.messages import TopicChanged
+from kumquatchuted.membership.messages import TopicListed
+from kumquatchuted.membership.reading import Changes
+from kumquatchuted.membership.reading import HistoryGone
+from kumquatchuted.membership.reading import Listing
+from kumquatchuted.membership.reading import TopicReader
+
+READER = TopicReader("things", lambda name, item: name)
+DOWN = Failure(ErrorKind.UNAVAILABLE, "down")
+
+
+class ScriptedStore:
+    """Gives results in order; the last watch never ends."""
+
+    def __init__(self, listings: list, watches: list) -> None:
+        """Create with the results of the calls."""
+        self.listings = listings
+        self.watches = watches
+        self.revisions: list[int] = []
+
+    async def list_all(self, reader: TopicReader) -> object:
+        """Return the next listing."""
+        return self.listings.pop(0)
+
+    async def watch(
+        self, reader: TopicReader, revision: int, wait_s: float
+    ) -> object:
+        """Return the next result, or wait for ever."""
+        self.revisions.append(revision)
+        if not self.watches:
+            await asyncio.Event().wait()
+        return self.watches.pop(0)
+
+
+async def follow(
+    store: ScriptedStore, on_failure: Callable = lambda: None
+) -> tuple[list, Follower, asyncio.Task]:
+    """Run a follower until it waits in the last watch."""
+    posted: list = []
+
+    async def no_sleep(seconds: float) -> None:
+        await asyncio.sleep(0)
+
+    follower = Follower(
+        Topic.SEARCHERS,
+        store,
+        READER,
+        posted.append,
+        random.Random(1),
+        2.0,
+        on_failure,
+        no_sleep,
+    )
+    task = asyncio.ensure_future(follower.run())
+    for _ in range(50):
+        await asyncio.sleep(0)
+    return posted, follower, task
+
+
+def test_watch_continues_where_the_last_one_ended() -> None:
+    """Guards against changes that are read twice or not at all."""
+
+    async def scenario() -> None:
+        change = Changes((Stored("a", "a"),), ("b",), 9)
+        store = ScriptedStore([Listing((), 5)], [change])
+        posted, _, task = await follow(store)
+        task.cancel()
+        assert store.revisions == [5, 9]
+        assert posted == [
+            TopicListed(Topic.SEARCHERS, ()),
+            TopicChanged(Topic.SEARCHERS, (Stored("a", "a"),), ("b",)),
+        ]
+
+    asyncio.run(scenario())
+
+
+def test_lost_history_leads_to_a_new_listing() -> None:
+    """Guards against a watch that continues from a dropped revision."""
+
+    async def scenario() -> None:
+        store = ScriptedStore(
+            [Listing((), 5), Listing((), 40)], [HistoryGone()]
+        )
+        posted, _, task = await follow(store)
+        task.cancel()
+        assert store.revisions == [5, 40]
+        assert len(posted) == 2
+
+    asyncio.run(scenario())
+
+
+def test_outage_is_reported_once_on_each_side() -> None:
+    """Guards against a return of the store that nobody hears of."""
+
+    async def scenario() -> None:
+        store = ScriptedStore([DOWN, DOWN, Listing((), 5)], [])
+        posted, _, task = await follow(store)
+        task.cancel()
+        assert [type(item) for item in posted] == [
+            StoreLost,
+            StoreLost,
+            StoreRegained,
+            TopicListed,
+        ]
+
+    asyncio.run(scenario())
+
+
+def test_dead_watch_begins_anew_when_told_so() -> None:
+    """Guards against a watch that the store dropped without closing it.
+
+    The requests of day scale-1 were handled by an older manifest for 2 s.
+    """
+
+    async def scenario() -> None:
+        store = ScriptedStore([Listing((), 5)], [])
+        _, follower, task = await follow(store)
+        store.watches.append(Changes((), (), 8))
+        follower.restart()
+        for _ in range(50):
+            await asyncio.sleep(0)
+        task.cancel()
+        assert store.revisions == [5, 5, 8]
+
+    asyncio.run(scenario())
+
+
+def test_first_failure_of_a_watch_is_told_to_the_others() -> None:
+    """Guards against followers that stay in watches of a former store."""
+
+    async def scenario() -> None:
+        told = []
+        store = ScriptedStore([Listing((), 5)], [DOWN, DOWN])
+        _, _, task = await follow(store, lambda: told.append(1))
+        task.cancel()
+        assert told == [1]
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_callers.py
@@ -0,0 +1,91 @@
+"""Requests of callers and the requests to searchers that follow."""
+
+from kumquatchuted.platform.callers import decode_request
+from kumquatchuted.platform.callers import encode_coverage
+from kumquatchuted.platform.searchers import decode_idle_limit
+from kumquatchuted.platform.searchers import decode_load
+from kumquatchuted.platform.searchers import decode_reply
+from kumquatchuted.platform.searchers import encode_attempt
+from kumquatchuted.searchers.connection import RawReply
+from kumquatchuted.searchers.messages import Reply
+
+HEADERS = [
+    (b"host", b"a.example"),
+    (b"x-request-id", b"r1"),
+    (b"x-deadline-ms", b"800"),
+    (b"x-expect-instance", b"i-evil"),
+    (b"transfer-encoding", b"chunked"),
+    (b"accept", b"*/*"),
+]
+
+
+def raw(status: int, *headers: tuple[bytes, bytes]) -> RawReply:
+    """Return an answer with headers."""
+    return RawReply(status, headers, b"body")
+
+
+def test_searcher_gets_target_headers_and_body_unchanged() -> None:
+    """Guards against a request that is changed on its way."""
+    req = decode_request("POST", b"/x/%2f", b"q=1", HEADERS, b"data")
+    sent = encode_attempt(req.outgoing, 0.25, "i-1")
+    head, _, body = sent.partition(b"\r\n\r\n")
+    assert head.split(b"\r\n") == [
+        b"POST /x/%2f?q=1 HTTP/1.1",
+        b"host: a.example",
+        b"x-request-id: r1",
+        b"accept: */*",
+        b"content-length: 4",
+        b"X-Deadline-Ms: 250",
+        b"X-Expect-Instance: i-1",
+    ]
+    assert body == b"data"
+    assert req.patience_s == 0.8
+    assert (req.host, req.path) == ("a.example", "/x/%2f")
+
+
+def test_request_without_a_body_has_no_length() -> None:
+    """Guards against a body that a searcher waits for."""
+    req = decode_request("GET", b"/x/", b"", HEADERS[:3], b"")
+    assert b"content-length" not in encode_attempt(req.outgoing, 1, None)
+
+
+def test_unreadable_time_limit_counts_as_none() -> None:
+    """Guards against an exception on a caller's header."""
+    for value in (b"soon", b"nan", b"-5", b"1e99", b""):
+        headers = [(b"x-deadline-ms", value)]
+        req = decode_request("GET", b"/", b"", headers, b"")
+        assert req.patience_s is None
+
+
+def test_what_an_answer_says_of_its_request_is_decoded() -> None:
+    """Guards against a request that is taken for not run."""
+    shed = decode_reply(raw(503, (b"x-not-executed", b"1")))
+    assert shed.not_executed
+    assert not decode_reply(raw(503)).not_executed
+    moved = decode_reply(raw(421))
+    assert moved.wrong_process
+    assert moved.not_executed
+    stamped = decode_reply(
+        raw(200, (b"x-server-stamp", b"s"), (b"connection", b"close"))
+    )
+    assert stamped.stamp == b"s"
+    assert stamped.headers == ((b"x-server-stamp", b"s"),)
+
+
+def test_load_and_idle_limit_tolerate_any_text() -> None:
+    """Guards against an exception on a searcher's header."""
+    report = decode_load(raw(200, (b"x-server-load", b"3,1,8")), 5.0, 1)
+    assert (report.running, report.waiting) == (3, 1)
+    for value in (b"", b"a,b,c", b"7"):
+        assert decode_load(raw(200, (b"x-server-load", value)), 5, 0) is None
+    assert decode_idle_limit(raw(200, (b"keep-alive", b"timeout=5"))) == 5.0
+    assert decode_idle_limit(raw(200, (b"keep-alive", b"max=x"))) is None
+
+
+def test_coverage_is_stated_in_full() -> None:
+    """Guards against an answer that hides missing shards."""
+    parts = [Reply(200, b"s%d" % n, b"", False, False, ()) for n in (1, 2)]
+    assert encode_coverage(parts, 1) == (
+        ("X-Part-Stamps", "s1,s2"),
+        ("X-Missing-Parts", "1"),
+    )
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_decoding.py
@@ -0,0 +1,140 @@
+"""Objects of the store, also those of foreign writers."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from kumquatchuted.membership.messages import Searcher
+from kumquatchuted.membership.messages import SearcherState
+from kumquatchuted.platform.decoding import decode_manifest
+from kumquatchuted.platform.decoding import decode_searcher
+from kumquatchuted.routing.messages import AllShards
+from kumquatchuted.routing.messages import Manifest
+from kumquatchuted.routing.messages import OneService
+from kumquatchuted.routing.messages import SplitServices
+
+ENTRY = {
+    "service": "billing",
+    "address": "10.128.0.9:8080",
+    "zone": "atl-north",
+    "version": "v1",
+    "capacity": 2,
+    "state": "ready",
+    "warmupLeftMs": 1500,
+    "seq": 4,
+    "born": 1_790_000_000_000,
+}
+ROUTE = {
+    "name": "r1",
+    "host": "a.example",
+    "pathPrefix": "/x/",
+    "routeType": "idempotent",
+    "timeoutMs": 800,
+    "targetLatencyMs": 56,
+    "priority": 2,
+    "maxAttempts": 2,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {**ROUTE, "gather": ["s1", "s2"], "topK": 5, "minCoverage": 0.75},
+        {**ROUTE, "service": "s1", "routeType": "non_idempotent"},
+        {**ROUTE, "trafficSplit": [{"service": "s1", "weight": 3}]},
+    ],
+    "services": [
+        {"name": "s1", "maxConns": 26, "warmupS": 3.0, "coldPerS": 0.0}
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 262144,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+}
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from([*ENTRY, *CONFIG, *ROUTE, "meta", "spec"]),
+            inner,
+            max_size=9,
+        )
+    ),
+    max_leaves=20,
+)
+
+
+def test_entry_says_what_the_searcher_is() -> None:
+    """Guards against fields that are decoded into the wrong unit."""
+    assert decode_searcher("i-1", {"spec": ENTRY}) == Searcher(
+        "i-1",
+        "billing",
+        "10.128.0.9",
+        8080,
+        "atl-north",
+        SearcherState.READY,
+        2,
+        1.5,
+        1_790_000_000_000,
+    )
+
+
+@pytest.mark.parametrize("field", [name for name in ENTRY if name != "born"])
+def test_entry_without_a_field_names_no_searcher(field: str) -> None:
+    """Guards against an entry of a foreign writer."""
+    entry = {key: value for key, value in ENTRY.items() if key != field}
+    assert decode_searcher("i-1", {"spec": entry}) is None
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("state", "melting"),
+        ("capacity", "2"),
+        ("capacity", 0),
+        ("capacity", True),
+        ("address", "nowhere"),
+        ("address", "10.0.0.1:0"),
+        ("warmupLeftMs", None),
+        ("warmupLeftMs", -1),
+        ("born", 1.5),
+        ("service", ""),
+    ],
+)
+def test_entry_with_a_wrong_field_names_no_searcher(
+    field: str, value: object
+) -> None:
+    """Guards against an entry of a foreign writer."""
+    assert decode_searcher("i-1", {"spec": {**ENTRY, field: value}}) is None
+
+
+def test_manifest_is_decoded_into_routes_and_limits() -> None:
+    """Guards against a kind of request or a destination that is mixed up."""
+    manifest = decode_manifest("main", {"spec": CONFIG})
+    gather, single, split = manifest.routes
+    assert manifest.version == 7
+    assert gather.destination == AllShards(("s1", "s2"), 5, 0.75)
+    assert gather.timeout_s == 0.8
+    assert gather.objective_s == 0.056
+    assert single.destination == OneService("s1")
+    assert not single.idempotent
+    assert isinstance(split.destination, SplitServices)
+    assert manifest.services["s1"].max_connections == 26
+    assert manifest.limits.idle_timeout_s == 15.0
+
+
+def test_other_object_of_the_kind_is_no_manifest() -> None:
+    """Guards against a draft that is taken for the newest manifest."""
+    assert decode_manifest("draft", {"spec": CONFIG}) is None
+
+
+@given(JSON)
+def test_no_object_raises(item: object) -> None:
+    """Guards against an object of the store that ends the process."""
+    assert isinstance(decode_searcher("i-1", item), Searcher | None)
+    assert isinstance(decode_manifest("main", item), Manifest | None)
+    spec = {"spec": item}
+    assert isinstance(decode_searcher("i-1", spec), Searcher | None)
+    assert isinstance(decode_manifest("main", spec), Manifest | None)
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/tests/test_progress.py
@@ -0,0 +1,92 @@
+"""Attempts for one service: what is repeated and what never is."""
+
+from kumquatchuted.retries import progress as pg
+from kumquatchuted.searchers.messages import Lost
+from kumquatchuted.searchers.messages import Refusal
+from kumquatchuted.searchers.messages import Reply
+
+TWICE = pg.Policy(max_attempts=2, runs_once=False)
+ONCE = pg.Policy(max_attempts=3, runs_once=True)
+
+
+def reply(status: int, not_executed: bool = False) -> Reply:
+    """Return an answer with a digest."""
+    return Reply(status, b"stamp", b"", not_executed, False, ())
+
+
+def sent(*searchers: str) -> pg.Progress:
+    """Return the state with attempts under way."""
+    progress = pg.Progress()
+    for searcher in searchers:
+        progress = pg.chosen(pg.ordered(progress), searcher, late_at=1.0)
+    return progress
+
+
+def test_failed_attempt_is_repeated_up_to_the_limit() -> None:
+    """Guards against more searchers than the route allows."""
+    progress, repeat = pg.finished(sent("a"), reply(500), TWICE)
+    assert repeat == pg.Repeat(needs_allowance=True)
+    progress = pg.chosen(pg.ordered(progress), "b", 1.0)
+    progress, repeat = pg.finished(progress, reply(500), TWICE)
+    assert repeat is None
+    assert progress.is_settled()
+
+
+def test_request_that_may_have_run_is_not_sent_twice() -> None:
+    """Guards against a ticket or a quiz submission that runs twice."""
+    for result in (reply(500), Lost("reset", sent=True)):
+        progress, repeat = pg.finished(sent("a"), result, ONCE)
+        assert repeat is None
+        assert progress.may_have_run
+
+
+def test_request_that_surely_did_not_run_is_sent_again() -> None:
+    """Guards against a failure where another searcher is free."""
+    progress, repeat = pg.finished(sent("a"), reply(503, True), ONCE)
+    assert repeat == pg.Repeat(needs_allowance=True)
+    assert not progress.may_have_run
+    progress, repeat = pg.finished(sent("a"), Lost("refused", False), ONCE)
+    assert repeat == pg.Repeat(needs_allowance=False)
+
+
+def test_request_that_runs_once_has_no_second_attempt_beside_the_first() -> (
+    None
+):
+    """Guards against a hedge of a request that must not run twice."""
+    assert not pg.is_late(sent("a"), ONCE, now=9.0)
+    assert pg.is_late(sent("a"), TWICE, now=9.0)
+
+
+def test_unreachable_searchers_are_not_tried_for_ever() -> None:
+    """Guards against a loop over searchers that refuse connections."""
+    progress, tries = sent("a"), 1
+    repeat: pg.Repeat | None = pg.Repeat(False)
+    while repeat is not None:
+        progress, repeat = pg.finished(progress, Lost("refused", False), ONCE)
+        progress = pg.chosen(pg.ordered(progress), "b", 1.0)
+        tries += 1
+        assert tries < 20
+
+
+def test_success_without_a_digest_is_no_answer() -> None:
+    """Guards against an answer that callers cannot verify."""
+    bare = Reply(200, b"", b"", False, False, ())
+    progress, _ = pg.finished(sent("a"), bare, TWICE)
+    assert progress.reply is None
+    assert progress.may_have_run
+
+
+def test_late_second_answer_changes_nothing() -> None:
+    """Guards against a part that replaces the one that was counted."""
+    progress, _ = pg.finished(sent("a", "b"), reply(200), TWICE)
+    again, repeat = pg.finished(progress, reply(500), TWICE)
+    assert again == progress
+    assert repeat is None
+
+
+def test_refusal_does_not_hide_what_a_searcher_answered() -> None:
+    """Guards against a log that blames the allowance for a failure."""
+    progress, _ = pg.finished(sent("a"), reply(500), TWICE)
+    progress, _ = pg.finished(pg.ordered(progress), Refusal.NO_BUDGET, TWICE)
+    assert progress.failure == reply(500)
+    assert progress.is_settled()
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/routing/tests/test_routing.py
@@ -0,0 +1,69 @@
+"""Routes: match, acceptance of manifests, weighted split."""
+
+from collections import Counter
+
+from kumquatchuted.routing.acceptance import newest
+from kumquatchuted.routing.messages import CallerLimits
+from kumquatchuted.routing.messages import Manifest
+from kumquatchuted.routing.messages import OneService
+from kumquatchuted.routing.messages import Route
+from kumquatchuted.routing.messages import WeightedService
+from kumquatchuted.routing.split import next_service
+from kumquatchuted.routing.split import start_split
+from kumquatchuted.routing.table import build_table
+from kumquatchuted.routing.table import find_route
+
+LIMITS = CallerLimits(16_384, 262_144, 3.0, 15.0)
+
+
+def route(host: str, prefix: str) -> Route:
+    """Return a route that is named by its prefix."""
+    return Route(
+        prefix, host, prefix, True, 1.0, 0.1, 0, 2, OneService("billing")
+    )
+
+
+def manifest(version: int, *routes: Route) -> Manifest:
+    """Return a manifest without services."""
+    return Manifest(version, routes, {}, LIMITS)
+
+
+def test_longest_prefix_of_the_host_wins() -> None:
+    """Guards against a route that shadows a more specific one."""
+    table = build_table(
+        manifest(
+            1,
+            route("a.example", "/x/"),
+            route("a.example", "/x/y/"),
+            route("b.example", "/x/y/z/"),
+        )
+    )
+    assert find_route(table, "a.example", "/x/y/z/1").prefix == "/x/y/"
+    assert find_route(table, "A.example:80", "/x/z").prefix == "/x/"
+
+
+def test_path_without_a_route_has_none() -> None:
+    """Guards against a prefix that matches within a path segment."""
+    table = build_table(manifest(1, route("a.example", "/x/")))
+    assert find_route(table, "a.example", "/xy") is None
+    assert find_route(table, "c.example", "/x/") is None
+
+
+def test_older_manifest_never_replaces_a_newer_one() -> None:
+    """Guards against a late answer of the store that reverts a version."""
+    newer = manifest(7)
+    assert newest(newer, manifest(5)) is newer
+    assert newest(newer, manifest(7)) is newer
+    assert newest(newer, manifest(12)).version == 12
+    assert newest(None, manifest(3)).version == 3
+
+
+def test_split_keeps_the_weights_in_every_stretch() -> None:
+    """Guards against shares that are right only on average."""
+    state = start_split((WeightedService("a", 3), WeightedService("b", 1)))
+    chosen = []
+    for _ in range(400):
+        state, service = next_service(state)
+        chosen.append(service)
+    for start in range(0, 400, 8):
+        assert Counter(chosen[start : start + 8]) == {"a": 6, "b": 2}
