Relay the store's objects from one reader a data centre

Cause: each node watched the store by itself, and a node that the store turns away or that starts during an outage knew nothing. Ruled out: stale reads (up to seconds old, more calls), ZeroMQ links (the objects already have an HTTP form that a follower can read from either place). Change: nodes serve what they last read on their internal address; a follower takes the first source that answers, a reader the store first.

--- a/packages/kumquatchuted/src/kumquatchuted/front/app.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/app.py
@@ -5,6 +5,7 @@
 
 import falcon
 import falcon.asgi
+import msgspec
 
 from kumquatchute_model.errors import ANSWERS
 from kumquatchute_model.errors import ErrorKind
@@ -17,6 +18,7 @@
 from kumquatchuted.platform.callers import CallerRequest
 from kumquatchuted.platform.callers import decode_request
 from kumquatchuted.platform.callers import encode_retry_after
+from kumquatchuted.platform.relay import Relay
 
 # Callers honour a pause of up to a third of the time that they have left;
 # the fault of a searcher that was just noticed is not over sooner.
@@ -134,6 +136,35 @@
         resp.data = self._render()
 
 
+class RelayResource:
+    """Serves other nodes what this node read from the store."""
+
+    def __init__(self, relay: Relay) -> None:
+        """Create the resource."""
+        self._relay = relay
+
+    async def on_get(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response, kind: str
+    ) -> None:
+        """Answer a list or a watch."""
+        revision = req.get_param_as_int("watch")
+        if revision is None:
+            page = self._relay.list_objects(kind)
+        else:
+            wait_ms = req.get_param_as_int("waitMs", default=0)
+            page = await self._relay.watch(kind, revision, wait_ms / 1000)
+        resp.status = page.status
+        if page.content is not None:
+            resp.data = msgspec.json.encode(page.content)
+
+
+def peer_app(relay: Relay) -> Application:
+    """Return the application for other nodes."""
+    app = falcon.asgi.App()
+    app.add_route("/objects/{kind}", RelayResource(relay))
+    return CancelOnDisconnect(app)
+
+
 def caller_app(sink: CallerSink) -> Application:
     """Return the application for callers."""
     app = falcon.asgi.App()
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -9,6 +9,7 @@
 from kumquatchuted.front.app import caller_app
 from kumquatchuted.front.app import CallerSink
 from kumquatchuted.front.app import operations_app
+from kumquatchuted.front.app import peer_app
 from kumquatchuted.front.app import Requests
 from kumquatchuted.front.listener import Listener
 from kumquatchuted.front.messages import StopRequested
@@ -16,9 +17,10 @@
 from kumquatchuted.front.task import FrontTask
 from kumquatchuted.gateway.metrics import GatewayMetrics
 from kumquatchuted.gateway.settings import GatewaySettings
-from kumquatchuted.mailbox import Post
 from kumquatchuted.membership.follower import Follower
+from kumquatchuted.membership.messages import Node
 from kumquatchuted.membership.messages import Topic
+from kumquatchuted.membership.sources import Source
 from kumquatchuted.membership.task import MembershipTask
 from kumquatchuted.platform.decoding import EVACUATION_READER
 from kumquatchuted.platform.decoding import MANIFEST_READER
@@ -26,6 +28,7 @@
 from kumquatchuted.platform.decoding import SEARCHER_READER
 from kumquatchuted.platform.objects import ObjectClient
 from kumquatchuted.platform.objects import register_node
+from kumquatchuted.platform.relay import Relay
 from kumquatchuted.searchers.task import SearchersTask
 
 READERS = {
@@ -79,28 +82,34 @@
     )
     searchers = SearchersTask(cfg, clock, rng, metrics.count)
     membership = MembershipTask(
-        (searchers.mailbox.post, front.mailbox.post), clock
+        cfg, (searchers.mailbox.post, front.mailbox.post), clock
     )
-    client = ObjectClient(lambda: cfg.store)
-    followers = _followers(client, membership.mailbox.post, rng)
+    relay = Relay(clock)
+    client = ObjectClient(relay)
+    followers = _followers(client, membership, rng, clock)
     router = Router(front.state, searchers.mailbox.post, clock)
     sink = CallerSink(router, front.state, requests, metrics.count)
     callers = Listener(caller_app(sink), front.state)
     operations_asgi = operations_app(front.state, metrics.render)
     operations = Listener(operations_asgi, front.state)
     measures = Listener(operations_asgi, front.state)
-    listeners.append(callers)
+    peers = Listener(peer_app(relay), front.state)
+    listeners += [callers, peers]
 
     async def open_listeners() -> Failure | None:
         fault = await callers.open(cfg.callers)
         if fault is None:
             fault = await operations.open(cfg.readiness)
+        if fault is None:
+            fault = await peers.open(cfg.peers)
         if fault is None and cfg.metrics is not None:
             fault = await measures.open(cfg.metrics)
         return fault
 
     async def register() -> None:
-        await register_node(client, NODE_READER.kind, cfg.node, rng)
+        node = Node(cfg.node, cfg.peers, cfg.data_centre)
+        store = Source(cfg.store, is_store=True)
+        await register_node(client, store, node, rng)
 
     async def run_forever(once: Callable) -> None:
         await once()
@@ -121,10 +130,16 @@
 
 
 def _followers(
-    client: ObjectClient, post: Post, rng: random.Random
+    client: ObjectClient,
+    membership: MembershipTask,
+    rng: random.Random,
+    clock: Callable[[], float],
 ) -> list[Follower]:
+    post, sources = membership.mailbox.post, membership.sources
     others = [
-        Follower(topic, client, reader, post, rng, LONG_WATCH_S)
+        Follower(
+            topic, client, reader, sources, post, rng, clock, LONG_WATCH_S
+        )
         for topic, reader in READERS.items()
         if topic is not Topic.MANIFEST
     ]
@@ -137,8 +152,10 @@
         Topic.MANIFEST,
         client,
         READERS[Topic.MANIFEST],
+        sources,
         post,
         rng,
+        clock,
         SHORT_WATCH_S,
         restart_others,
     )
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/settings.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/settings.py
@@ -32,6 +32,8 @@
     :param callers: address of the listener for callers
     :param readiness: address of the listener for the readiness check
     :param metrics: address of the listener for metrics
+    :param peers: address of the listener for other nodes
+    :param seeds: addresses of a few other nodes, which can be down
     :param store: address of the platform's store
     """
 
@@ -40,5 +42,7 @@
     callers: str
     readiness: str
     metrics: str | None
+    peers: str
+    seeds: tuple[str, ...]
     store: str
     limits: GatewayLimits
--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 import random
 
+from logbook import Logger
+
 from kumquatchute_model.errors import Failure
 from kumquatchuted.mailbox import Post
 from kumquatchuted.membership.messages import StoreLost
@@ -15,14 +17,21 @@
 from kumquatchuted.membership.reading import HistoryGone
 from kumquatchuted.membership.reading import ObjectReader
 from kumquatchuted.membership.reading import TopicReader
+from kumquatchuted.membership.sources import Source
 
 # Each watch call is paid for. Changes that come close together are read by
 # one call; the delay is small against the seconds in which they must apply.
 COLLECT_S = 0.25
-# First and longest pause after a failed call. The longest one bounds how
-# late a change is seen after an outage.
+# First and longest pause after all sources failed. The longest one bounds
+# how late a change is seen after an outage.
 RETRY_S = 0.25
 MAX_RETRY_S = 1.0
+# A source that failed is tried last for this time, and one that is not the
+# preferred one is left after it, in seconds.
+AVOID_S = 1.5
+FALLBACK_S = 2.0
+
+log = Logger("membership")
 
 
 class Follower:
@@ -33,8 +42,10 @@
         topic: Topic,
         client: ObjectReader,
         reader: TopicReader,
+        sources: Callable[[], tuple[Source, ...]],
         post: Post,
         rng: random.Random,
+        clock: Callable[[], float],
         wait_s: float,
         on_failure: Callable[[], None] = lambda: None,
         sleep: Callable = asyncio.sleep,
@@ -42,19 +53,25 @@
         """Create a follower.
 
         :param reader: names the kind and decodes its objects
+        :param sources: returns where to read, the preferred source first
         :param post: mailbox of the membership task
+        :param clock: monotonic time in seconds
         :param wait_s: longest time of a watch, in seconds
-        :param on_failure: called when a call fails after successful ones
+        :param on_failure: called when the source in use fails
         """
         self._topic = topic
         self._client = client
         self._reader = reader
+        self._sources = sources
         self._post = post
         self._rng = rng
+        self._clock = clock
         self._wait_s = wait_s
         self._on_failure = on_failure
         self._sleep = sleep
         self._failures = 0
+        self._failed_at: dict[Source, float] = {}
+        self._source: Source | None = None
         self._restart = asyncio.Event()
 
     def restart(self) -> None:
@@ -62,27 +79,60 @@
         self._restart.set()
 
     async def run(self) -> None:
-        """List, then watch until the history is gone, for ever."""
+        """Follow the best source that answers, for ever."""
         while True:
-            listing = await self._client.list_all(self._reader)
+            failure = await self._follow_one()
+            if failure is not None:
+                await self._failed(failure)
+
+    async def _follow_one(self) -> Failure | None:
+        """Follow the first source that answers; the failure if none does."""
+        sources = self._sources()
+        failure = None
+        for source in self._by_recent_failure(sources):
+            listing = await self._client.list_all(source, self._reader)
             if isinstance(listing, Failure):
-                await self._failed(listing)
+                self._failed_at[source] = self._clock()
+                failure = listing
                 continue
-            self._succeeded()
+            self._succeeded(source)
             self._post(TopicListed(self._topic, listing.objects))
-            await self._watch(listing.revision)
+            await self._watch(source, listing.revision, source != sources[0])
+            return None
+        return failure
 
-    async def _watch(self, revision: int) -> None:
+    def _by_recent_failure(self, sources: tuple[Source, ...]) -> list[Source]:
+        now = self._clock()
+        return sorted(
+            sources,
+            key=lambda item: (
+                self._failed_at.get(item, -AVOID_S) > now - AVOID_S
+            ),
+        )
+
+    async def _watch(
+        self, source: Source, revision: int, is_fallback: bool
+    ) -> None:
+        """Watch until the history is gone or the source fails."""
+        started = self._clock()
         while True:
-            result = await self._next_changes(revision)
+            if is_fallback and self._clock() >= started + FALLBACK_S:
+                return
+            result = await self._next_changes(source, revision, is_fallback)
             if result is None:
                 continue
             if isinstance(result, HistoryGone):
                 return
             if isinstance(result, Failure):
-                await self._failed(result)
-                continue
-            self._succeeded()
+                self._failed_at[source] = self._clock()
+                log.info(
+                    "source failed topic={} address={} cause={}",
+                    self._topic.value,
+                    source.address,
+                    result.reason,
+                )
+                self._on_failure()
+                return
             revision = result.revision
             if result.written or result.removed:
                 self._post(
@@ -91,12 +141,13 @@
                 await self._sleep(COLLECT_S)
 
     async def _next_changes(
-        self, revision: int
+        self, source: Source, revision: int, is_fallback: bool
     ) -> Changes | HistoryGone | Failure | None:
         """Wait for changes; None if the watch is to begin anew."""
+        wait_s = min(self._wait_s, FALLBACK_S) if is_fallback else self._wait_s
         self._restart.clear()
         watch = asyncio.ensure_future(
-            self._client.watch(self._reader, revision, self._wait_s)
+            self._client.watch(source, self._reader, revision, wait_s)
         )
         restart = asyncio.ensure_future(self._restart.wait())
         try:
@@ -108,15 +159,21 @@
             watch.cancel()
             restart.cancel()
 
-    def _succeeded(self) -> None:
+    def _succeeded(self, source: Source) -> None:
+        if source != self._source:
+            log.info(
+                "reading topic={} address={} store={}",
+                self._topic.value,
+                source.address,
+                source.is_store,
+            )
+            self._source = source
         if self._failures:
             self._failures = 0
             self._post(StoreRegained(self._topic))
 
     async def _failed(self, failure: Failure) -> None:
         self._failures += 1
-        if self._failures == 1:
-            self._on_failure()
         self._post(StoreLost(self._topic, failure.reason))
         pause = min(MAX_RETRY_S, RETRY_S * 2 ** min(self._failures - 1, 4))
         await self._sleep(pause * self._rng.uniform(0.7, 1.0))
--- a/packages/kumquatchuted/src/kumquatchuted/membership/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/messages.py
@@ -44,6 +44,18 @@
     value: object
 
 
+@dataclass(frozen=True, slots=True)
+class Node:
+    """A node of this system.
+
+    :param address: where it serves other nodes
+    """
+
+    name: str
+    address: str
+    data_centre: str
+
+
 class Topic(Enum):
     """What a follower of the store reads."""
 
--- a/packages/kumquatchuted/src/kumquatchuted/membership/reading.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/reading.py
@@ -6,6 +6,7 @@
 
 from kumquatchute_model.errors import Failure
 from kumquatchuted.membership.messages import Stored
+from kumquatchuted.membership.sources import Source
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,10 +49,16 @@
 class ObjectReader(Protocol):
     """The calls of the store that followers use."""
 
-    async def list_all(self, reader: TopicReader) -> Listing | Failure:
+    async def list_all(
+        self, source: Source, reader: TopicReader
+    ) -> Listing | Failure:
         """Read all objects of a kind."""
 
     async def watch(
-        self, reader: TopicReader, revision: int, wait_s: float
+        self,
+        source: Source,
+        reader: TopicReader,
+        revision: int,
+        wait_s: float,
     ) -> Changes | HistoryGone | Failure:
         """Wait for changes after a revision, at most some seconds."""
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/sources.py
@@ -0,0 +1,89 @@
+"""Where a node reads the store's objects: the store itself or other nodes.
+
+Each call of the store is paid for and its rates grow more slowly than the
+fleet, so that only a few nodes of a data centre read it and the others read
+from them. A node that cannot reach its preferred source takes the next one.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import xxhash
+
+from kumquatchuted.membership.messages import Node
+
+# If the reader is lost, the others read from a reader in another data centre
+# or from the store itself, so that a second one is not needed.
+READERS_PER_DATA_CENTRE = 1
+# Other nodes that are asked if the preferred sources fail.
+MAX_FALLBACKS = 4
+# Relays that a node asks before the store: the reader of its data centre and
+# one of another.
+RELAYS_FIRST = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Address that serves the store's objects.
+
+    :param is_store: whether it is the store and not another node
+    """
+
+    address: str
+    is_store: bool
+
+
+def order_sources(
+    node: str,
+    data_centre: str,
+    nodes: Mapping[str, Node],
+    seeds: tuple[str, ...],
+    store: str,
+) -> tuple[Source, ...]:
+    """Return the sources of a node, the preferred one first.
+
+    :param nodes: known nodes by name
+    :param seeds: addresses of nodes that are known without the store
+    """
+    others = [item for name, item in nodes.items() if name != node]
+    own_address = nodes[node].address if node in nodes else None
+    others.sort(
+        key=lambda item: (
+            item.data_centre != data_centre,
+            _rank(node, item.name),
+        )
+    )
+    readers = _readers(node, data_centre, nodes)
+    addresses = [item.address for item in others if item.name in readers]
+    addresses += [item.address for item in others if item.name not in readers]
+    addresses += [address for address in seeds if address != own_address]
+    relays = [
+        Source(address, is_store=False) for address in dict.fromkeys(addresses)
+    ]
+    relays = relays[:MAX_FALLBACKS]
+    from_store = Source(store, is_store=True)
+    if node in readers:
+        return (from_store, *relays)
+    return (*relays[:RELAYS_FIRST], from_store, *relays[RELAYS_FIRST:])
+
+
+def _readers(
+    node: str, data_centre: str, nodes: Mapping[str, Node]
+) -> set[str]:
+    members: dict[str, set[str]] = {data_centre: {node}}
+    for name, item in nodes.items():
+        members.setdefault(item.data_centre, set()).add(name)
+    readers: set[str] = set()
+    for names in members.values():
+        readers |= readers_of(names)
+    return readers
+
+
+def readers_of(names: set[str]) -> set[str]:
+    """Return which nodes of one data centre read the store."""
+    ranked = sorted(names, key=lambda name: _rank("reader", name))
+    return set(ranked[:READERS_PER_DATA_CENTRE])
+
+
+def _rank(salt: str, name: str) -> int:
+    return xxhash.xxh64_intdigest(f"{salt}/{name}".encode())
--- a/packages/kumquatchuted/src/kumquatchuted/membership/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/task.py
@@ -5,15 +5,20 @@
 
 from logbook import Logger
 
+from kumquatchuted.gateway.settings import GatewaySettings
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.mailbox import Post
 from kumquatchuted.membership.messages import MembersChanged
+from kumquatchuted.membership.messages import Node
+from kumquatchuted.membership.messages import Stored
 from kumquatchuted.membership.messages import StoreLost
 from kumquatchuted.membership.messages import StoreRegained
 from kumquatchuted.membership.messages import Topic
 from kumquatchuted.membership.messages import TopicChanged
 from kumquatchuted.membership.messages import TopicListed
 from kumquatchuted.membership import registry as reg
+from kumquatchuted.membership.sources import order_sources
+from kumquatchuted.membership.sources import Source
 from kumquatchuted.routing.acceptance import newest
 from kumquatchuted.routing.messages import Manifest
 from kumquatchuted.routing.messages import ManifestChanged
@@ -25,7 +30,10 @@
     """Owns the registry, the manifest and the evacuations."""
 
     def __init__(
-        self, posts: tuple[Post, ...], clock: Callable[[], float]
+        self,
+        cfg: GatewaySettings,
+        posts: tuple[Post, ...],
+        clock: Callable[[], float],
     ) -> None:
         """Create the task.
 
@@ -33,14 +41,22 @@
         :param clock: monotonic time in seconds
         """
         self.mailbox = Mailbox()
+        self._cfg = cfg
         self._posts = posts
         self._clock = clock
         self._registry = reg.EMPTY
         self._manifest: Manifest | None = None
         self._evacuated: frozenset[str] = frozenset()
-        self._nodes: frozenset[str] = frozenset()
+        self._nodes: dict[str, Node] = {}
+        self._sources = order_sources(
+            cfg.node, cfg.data_centre, {}, cfg.seeds, cfg.store
+        )
         self._lost: set[Topic] = set()
 
+    def sources(self) -> tuple[Source, ...]:
+        """Return where this node reads the store's objects."""
+        return self._sources
+
     async def run(self) -> None:
         """Apply messages and expire searchers until cancelled."""
         while True:
@@ -84,16 +100,33 @@
                 names = {item.name for item in change.written}
                 self._evacuate((self._evacuated | names) - set(change.removed))
             case TopicListed(topic=Topic.NODES, objects=objects):
-                self._nodes = frozenset(item.name for item in objects)
+                self._nodes = {}
+                self._add_nodes(objects)
                 log.info("nodes listed count={}", len(self._nodes))
             case TopicChanged(topic=Topic.NODES) as change:
-                names = {item.name for item in change.written}
-                self._nodes = (self._nodes | names) - set(change.removed)
+                self._nodes = {
+                    name: node
+                    for name, node in self._nodes.items()
+                    if name not in change.removed
+                }
+                self._add_nodes(change.written)
             case StoreLost(topic=topic, reason=reason):
                 self._store_lost(topic, reason)
             case StoreRegained(topic=topic):
                 self._store_regained(topic, now)
 
+    def _add_nodes(self, objects: tuple[Stored, ...]) -> None:
+        nodes = {
+            item.name: item.value
+            for item in objects
+            if isinstance(item.value, Node)
+        }
+        self._nodes = {**self._nodes, **nodes}
+        cfg = self._cfg
+        self._sources = order_sources(
+            cfg.node, cfg.data_centre, self._nodes, cfg.seeds, cfg.store
+        )
+
     def _accept(self, objects: tuple) -> None:
         for item in objects:
             if not isinstance(item.value, Manifest):
@@ -151,7 +184,7 @@
             self._registry.searchers,
             self._registry.seen_at,
             self._evacuated,
-            self._nodes,
+            frozenset(self._nodes),
         )
         for post in self._posts:
             post(message)
--- a/packages/kumquatchuted/src/kumquatchuted/platform/decoding.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/decoding.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from kumquatchute_model.address import parse_address
+from kumquatchuted.membership.messages import Node
 from kumquatchuted.membership.messages import Searcher
 from kumquatchuted.membership.messages import SearcherState
 from kumquatchuted.membership.reading import TopicReader
@@ -21,6 +22,7 @@
 from kumquatchuted.routing.messages import WeightedService
 
 MANIFEST_NAME = "main"
+NODE_KIND = "querynodes"
 DEFAULT_MAX_ATTEMPTS = 1
 DEFAULT_MAX_CONNECTIONS = 1_000_000
 MS_PER_S = 1000
@@ -81,6 +83,11 @@
     born: int | None = None
 
 
+class _Node(msgspec.Struct, rename="camel"):
+    address: str
+    data_centre: str
+
+
 def decode_manifest(name: str, item: object) -> Manifest | None:
     """Decode the newest manifest."""
     if name != MANIFEST_NAME:
@@ -145,10 +152,23 @@
     return name
 
 
+def encode_node(node: Node) -> dict:
+    """Return what a node writes of itself."""
+    return {"address": node.address, "dataCentre": node.data_centre}
+
+
+def decode_node(name: str, item: object) -> Node | None:
+    """Decode the entry that a node wrote of itself."""
+    spec = _spec(item, _Node)
+    if spec is None or parse_address(spec.address) is None:
+        return None
+    return Node(name, spec.address, spec.data_centre)
+
+
 MANIFEST_READER = TopicReader("config", decode_manifest)
 SEARCHER_READER = TopicReader("servers", decode_searcher)
 EVACUATION_READER = TopicReader("evacuations", decode_name)
-NODE_READER = TopicReader("querynodes", decode_name)
+NODE_READER = TopicReader(NODE_KIND, decode_node)
 
 
 def _spec(item: object, kind: type) -> msgspec.Struct | None:
--- a/packages/kumquatchuted/src/kumquatchuted/platform/objects.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/objects.py
@@ -1,7 +1,6 @@
 """Client of the users' object store: HTTP/1.1 with JSON bodies."""
 
 import asyncio
-from collections.abc import Callable
 import random
 
 import aiohttp
@@ -9,11 +8,16 @@
 
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
+from kumquatchuted.membership.messages import Node
 from kumquatchuted.membership.messages import Stored
 from kumquatchuted.membership.reading import Changes
 from kumquatchuted.membership.reading import HistoryGone
 from kumquatchuted.membership.reading import Listing
 from kumquatchuted.membership.reading import TopicReader
+from kumquatchuted.membership.sources import Source
+from kumquatchuted.platform.decoding import encode_node
+from kumquatchuted.platform.decoding import NODE_KIND
+from kumquatchuted.platform.relay import Relay
 from kumquatchuted.platform.sockets import keep_alive_socket
 
 # The answer of a watch is awaited for this long after its end. The slowest
@@ -24,50 +28,66 @@
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
 MAX_PAGES = 200
+# First and longest pause between tries to write the entry of this node, in
+# seconds. Nothing waits for it but the shares of the other nodes.
+REGISTER_RETRY_S = 0.3
+MAX_REGISTER_RETRY_S = 2.0
 
 
 class ObjectClient:
     """Owns the connections to the store; returns failures, never raises."""
 
-    def __init__(self, address: Callable[[], str]) -> None:
+    def __init__(self, relay: Relay) -> None:
         """Create a client.
 
-        :param address: returns the IP address and port in force
+        :param relay: keeps for other nodes what the store answers
         """
-        self._address = address
+        self._relay = relay
         self._session: aiohttp.ClientSession | None = None
 
-    async def list_all(self, reader: TopicReader) -> Listing | Failure:
+    async def list_all(
+        self, source: Source, reader: TopicReader
+    ) -> Listing | Failure:
         """Read all pages of a kind.
 
         :returns: the objects and the revision of the first page, from which
             a watch misses nothing that changed while pages were read
         """
-        objects: list[Stored] = []
+        items: dict[str, dict] = {}
         revision = None
         after = None
         for _ in range(MAX_PAGES):
             query = {} if after is None else {"after": after}
-            page = await self._get(reader.kind, query, CALL_TIMEOUT_S)
+            page = await self._get(source, reader.kind, query, CALL_TIMEOUT_S)
             if isinstance(page, Failure):
                 return page
             if isinstance(page, HistoryGone):
                 return _malformed("a listing was answered with 410")
-            items = page.get("items")
+            listed = page.get("items")
             as_of = page.get("asOf")
-            if not isinstance(items, list) or not isinstance(as_of, int):
+            if not isinstance(listed, list) or not isinstance(as_of, int):
                 return _malformed("a listing lacks its items or revision")
             revision = as_of if revision is None else revision
-            objects += [_stored(item, reader) for item in items]
-            after = _name(items[-1]) if items else None
+            items |= {_name(item): item for item in listed if _name(item)}
+            after = _name(listed[-1]) if listed else None
             if not page.get("hasMore") or after is None:
                 break
+        if source.is_store:
+            self._relay.listed(reader.kind, items, revision or 0)
         return Listing(
-            tuple(item for item in objects if item.name), revision or 0
+            tuple(
+                Stored(name, reader.decode(name, item))
+                for name, item in items.items()
+            ),
+            revision or 0,
         )
 
     async def watch(
-        self, reader: TopicReader, revision: int, wait_s: float
+        self,
+        source: Source,
+        reader: TopicReader,
+        revision: int,
+        wait_s: float,
     ) -> Changes | HistoryGone | Failure:
         """Wait for changes after a revision.
 
@@ -75,14 +95,14 @@
         """
         query = {"watch": str(revision), "waitMs": str(int(wait_s * 1000))}
         timeout_s = wait_s + WATCH_RESERVE_S
-        page = await self._get(reader.kind, query, timeout_s)
+        page = await self._get(source, reader.kind, query, timeout_s)
         if isinstance(page, Failure | HistoryGone):
             return page
         events = page.get("events")
         as_of = page.get("asOf")
         if not isinstance(events, list) or not isinstance(as_of, int):
             return _malformed("a watch lacks its events or revision")
-        latest: dict[str, Stored | None] = {}
+        latest: dict[str, dict | None] = {}
         for event in events:
             if not isinstance(event, dict):
                 continue
@@ -90,25 +110,44 @@
             name = _name(item)
             if name:
                 removed = event.get("removed") is True
-                latest[name] = None if removed else _stored(item, reader)
+                latest[name] = None if removed else item
+        if source.is_store:
+            self._relay.changed(reader.kind, latest, as_of)
         return Changes(
-            tuple(item for item in latest.values() if item is not None),
+            tuple(
+                Stored(name, reader.decode(name, item))
+                for name, item in latest.items()
+                if item is not None
+            ),
             tuple(name for name, item in latest.items() if item is None),
             as_of,
         )
 
-    async def create(
-        self, kind: str, name: str, value: dict
+    async def put(
+        self, source: Source, kind: str, name: str, value: dict
     ) -> None | Failure:
-        """Create an object; one that exists already is left as it is."""
-        body = msgspec.json.encode({"meta": {"name": name}, "spec": value})
-        answer = await self._call("POST", kind, {}, body, CALL_TIMEOUT_S)
+        """Create an object, or replace one that says something else."""
+        target = f"http://{source.address}/objects/{kind}"
+        meta: dict = {"name": name}
+        body = msgspec.json.encode({"meta": meta, "spec": value})
+        answer = await self._call("POST", target, {}, body, CALL_TIMEOUT_S)
         if isinstance(answer, Failure):
             return answer
-        status, _ = answer
-        if status in (200, 201, 409):
+        status, found = answer
+        if status != 409:
+            return None if status in (200, 201) else _refused(status)
+        present = _decode(found)
+        if isinstance(present, Failure) or present.get("spec") == value:
             return None
-        return _refused(status)
+        # The node has moved to another address since it was created.
+        meta["revision"] = (present.get("meta") or {}).get("revision")
+        body = msgspec.json.encode({"meta": meta, "spec": value})
+        answer = await self._call(
+            "PUT", f"{target}/{name}", {}, body, CALL_TIMEOUT_S
+        )
+        if isinstance(answer, Failure):
+            return answer
+        return None if answer[0] == 200 else _refused(answer[0])
 
     async def close(self) -> None:
         """Close all connections."""
@@ -116,9 +155,14 @@
             await self._session.close()
 
     async def _get(
-        self, kind: str, query: dict[str, str], timeout_s: float
+        self,
+        source: Source,
+        kind: str,
+        query: dict[str, str],
+        timeout_s: float,
     ) -> dict | HistoryGone | Failure:
-        answer = await self._call("GET", kind, query, None, timeout_s)
+        url = f"http://{source.address}/objects/{kind}"
+        answer = await self._call("GET", url, query, None, timeout_s)
         if isinstance(answer, Failure):
             return answer
         status, body = answer
@@ -126,23 +170,16 @@
             return HistoryGone()
         if status != 200:
             return _refused(status)
-        try:
-            page = msgspec.json.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            return _malformed(f"an answer is no JSON: {exc}")
-        if not isinstance(page, dict):
-            return _malformed("an answer is no JSON object")
-        return page
+        return _decode(body)
 
     async def _call(
         self,
         method: str,
-        kind: str,
+        url: str,
         query: dict[str, str],
         body: bytes | None,
         timeout_s: float,
     ) -> tuple[int, bytes] | Failure:
-        url = f"http://{self._address()}/objects/{kind}"
         headers = {"Content-Type": "application/json"} if body else {}
         try:
             async with self._open().request(
@@ -160,7 +197,7 @@
             # TimeoutError of asyncio is an OSError only since Python 3.11.
             return Failure(
                 ErrorKind.UNAVAILABLE,
-                f"{method} {kind}: {type(exc).__name__} {exc}",
+                f"{method} {url}: {type(exc).__name__} {exc}",
             )
 
     def _open(self) -> aiohttp.ClientSession:
@@ -179,18 +216,24 @@
 
 
 async def register_node(
-    client: ObjectClient, kind: str, node: str, rng: random.Random
+    client: ObjectClient, store: Source, node: Node, rng: random.Random
 ) -> None:
-    """Create the entry of this node, however long the store is away."""
-    pause = 0.3
-    while await client.create(kind, node, {}) is not None:
+    """Write the entry of this node, however long the store is away."""
+    pause = REGISTER_RETRY_S
+    value = encode_node(node)
+    while await client.put(store, NODE_KIND, node.name, value) is not None:
         await asyncio.sleep(pause * rng.uniform(0.7, 1.0))
-        pause = min(2.0, pause * 2)
+        pause = min(MAX_REGISTER_RETRY_S, pause * 2)
 
 
-def _stored(item: object, reader: TopicReader) -> Stored:
-    name = _name(item)
-    return Stored(name, reader.decode(name, item) if name else None)
+def _decode(body: bytes) -> dict | Failure:
+    try:
+        page = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return _malformed(f"an answer is no JSON: {exc}")
+    if not isinstance(page, dict):
+        return _malformed("an answer is no JSON object")
+    return page
 
 
 def _name(item: object) -> str:
--- a/packages/kumquatchuted/src/kumquatchuted/platform/settings.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/settings.py
@@ -17,6 +17,8 @@
 class _Listeners(msgspec.Struct):
     front: str
     ready: str
+    # Nobody outside calls this address; nodes serve each other there.
+    control: str
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
@@ -43,6 +45,8 @@
     bounds: _Bounds
     platform: _Platform
     internal_ports: list[int] = []
+    # Addresses of a few other nodes, which can be stale or down.
+    seeds: list[str] = []
 
 
 def read_settings(path: str) -> GatewaySettings | Failure:
@@ -64,6 +68,8 @@
         metrics=(
             f"{raw.ip}:{raw.internal_ports[0]}" if raw.internal_ports else None
         ),
+        peers=raw.listen_addrs.control,
+        seeds=tuple(raw.seeds),
         store=raw.platform.address,
         limits=GatewayLimits(
             drain_s=bounds.drain_ms / MS_PER_S,
