List the store first after a lost watch and await new shards

Ruled out: a wall-clock age of entries (clocks jump). Change: a lost watch no longer marks its source; a query that too few shards can take is refused by one message as not run; a manifest that names new shards takes effect when they are warm, within a part of the allowed time.

--- a/packages/kumquatchuted/src/kumquatchuted/gateway/settings.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/settings.py
@@ -7,6 +7,7 @@
 class GatewayLimits:
     """Limits that the platform's operators set for all nodes together.
 
+    :param apply_s: time until a manifest must be in force, seconds
     :param drain_s: time until a leaving searcher receives nothing, seconds
     :param grace_s: time between the stop signal and the kill, seconds
     :param retry_ratio: repeated sends as a share of the requests
@@ -16,6 +17,7 @@
     :param warmup_slack: requests per second tolerated beyond it
     """
 
+    apply_s: float
     drain_s: float
     grace_s: float
     retry_ratio: float
--- a/packages/kumquatchuted/src/kumquatchuted/gather/decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/decide.py
@@ -15,6 +15,7 @@
 from kumquatchuted.gather.messages import Action
 from kumquatchuted.gather.messages import Event
 from kumquatchuted.gather.messages import Finish
+from kumquatchuted.gather.messages import NotSent
 from kumquatchuted.gather.messages import SendAll
 from kumquatchuted.gather.messages import SendShard
 from kumquatchuted.gather.messages import ShardDone
@@ -73,6 +74,8 @@
             return _with_shard(state, shard, item), ()
         case ShardDone(shard=shard, result=result):
             state, actions = _shard_done(state, shard, result)
+        case NotSent(usable=usable):
+            return state, (_refuse(state, usable),)
         case Woken():
             state, actions = _repeat_late(state, now)
     finish = _finish(state, now)
@@ -124,6 +127,13 @@
     return state, tuple(actions)
 
 
+def _refuse(state: QueryState, usable: int) -> Finish:
+    shards = state.plan.shards
+    reason = f"{usable} of {shards} shards have a usable searcher"
+    failure = Failure(ErrorKind.UNAVAILABLE, reason, not_run=True)
+    return Finish((), shards, failure)
+
+
 def _finish(state: QueryState, now: float) -> Finish | None:
     plan = state.plan
     parts = tuple(
--- a/packages/kumquatchuted/src/kumquatchuted/gather/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/messages.py
@@ -33,12 +33,19 @@
     result: Reply | Lost | Refusal
 
 
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """Too few shards have a usable searcher, so that nothing was sent."""
+
+    usable: int
+
+
 @dataclass(frozen=True, slots=True)
 class Woken:
     """The time of ``next_wake`` has come."""
 
 
-Event = Started | ShardSent | ShardDone | Woken
+Event = Started | ShardSent | ShardDone | NotSent | Woken
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/kumquatchuted/src/kumquatchuted/gather/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -12,6 +12,7 @@
 from kumquatchuted.gather.messages import Action
 from kumquatchuted.gather.messages import Event
 from kumquatchuted.gather.messages import Finish
+from kumquatchuted.gather.messages import NotSent
 from kumquatchuted.gather.messages import SendAll
 from kumquatchuted.gather.messages import SendShard
 from kumquatchuted.gather.messages import ShardDone
@@ -26,6 +27,7 @@
 from kumquatchuted.searchers.messages import AbandonAttempt
 from kumquatchuted.searchers.messages import AttemptDone
 from kumquatchuted.searchers.messages import AttemptSent
+from kumquatchuted.searchers.messages import NoneSent
 from kumquatchuted.searchers.messages import Outgoing
 from kumquatchuted.searchers.messages import SendAttempt
 from kumquatchuted.searchers.messages import SendShards
@@ -121,6 +123,9 @@
             case AttemptDone(key=key, result=result):
                 self._pending.discard(key)
                 return ShardDone(key.shard, result)
+            case NoneSent(usable=usable):
+                self._pending.clear()
+                return NotSent(usable)
         return None
 
     def _step(self, event: Event) -> Finish | None:
@@ -138,7 +143,7 @@
                     self._order(shard, (), is_repeat=False)
                     for shard in range(len(self._shards))
                 )
-                self._post(SendShards(orders, least))
+                self._post(SendShards(orders, least, self.mailbox.post))
             case SendShard(shard=shard, exclude=exclude, is_repeat=repeat):
                 self._post(self._order(shard, exclude, repeat))
 
--- a/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
@@ -3,6 +3,7 @@
 from kumquatchute_model.errors import ErrorKind
 from kumquatchuted.gather import decide as dc
 from kumquatchuted.gather.messages import Finish
+from kumquatchuted.gather.messages import NotSent
 from kumquatchuted.gather.messages import SendAll
 from kumquatchuted.gather.messages import SendShard
 from kumquatchuted.gather.messages import ShardDone
@@ -26,7 +27,6 @@
 
 def started(min_coverage: float = 0.75) -> dc.QueryState:
     """Return a query whose attempts were all sent at time 0."""
-    plan = dc.Plan(SHARDS, Policy(2, False), ANSWER_AT, GIVE_UP_AT, 0.0)
     plan = dc.Plan(
         SHARDS, Policy(2, False), ANSWER_AT, GIVE_UP_AT, min_coverage
     )
@@ -93,18 +93,20 @@
     """Guards against a refusal that says "not run" after a part ran."""
     plan = dc.Plan(SHARDS, Policy(2, False), ANSWER_AT, GIVE_UP_AT, 0.75)
     state, _ = dc.decide(dc.start(plan), Started(), 0.0)
+    _, actions = dc.decide(state, NotSent(2), 0.0)
+    assert actions[0].failure.kind is ErrorKind.UNAVAILABLE
+    assert actions[0].failure.not_run
+
+
+def test_query_that_fails_while_parts_run_promises_nothing() -> None:
+    """Guards against "not run" about a query whose parts are running."""
+    state = started()
     for shard in (0, 1):
         state, actions = dc.decide(
-            state, ShardDone(shard, Refusal.TOO_FEW), 0.0
+            state, ShardDone(shard, Refusal.NO_SEARCHER), 0.0
         )
-    failure = actions[0].failure
-    assert failure.kind is ErrorKind.TARGET_FAILED
-    for shard in (2, 3):
-        state, actions = dc.decide(
-            state, ShardDone(shard, Refusal.TOO_FEW), 0.0
-        )
-    assert actions[0].failure.kind is ErrorKind.UNAVAILABLE
-    assert actions[0].failure.not_run
+    assert actions[0].failure.kind is ErrorKind.TARGET_FAILED
+    assert not actions[0].failure.not_run
 
 
 def test_time_limit_ends_the_query() -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -124,7 +124,7 @@
             if isinstance(result, HistoryGone):
                 return
             if isinstance(result, Failure):
-                self._failed_at[source] = self._clock()
+                # The source may serve lists although it lost the watch.
                 log.info(
                     "source failed topic={} address={} cause={}",
                     self._topic.value,
--- a/packages/kumquatchuted/src/kumquatchuted/membership/registry.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/registry.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 
 from kumquatchuted.membership.messages import Searcher
+from kumquatchuted.membership.messages import SearcherState
 from kumquatchuted.membership.messages import Stored
 
 # The store restores entries within about two seconds of its return; the
@@ -134,3 +135,14 @@
 
 def _without(items: Mapping, names: list[str]) -> dict:
     return {key: item for key, item in items.items() if key not in names}
+
+
+def warm_times(registry: Registry) -> dict[str, float]:
+    """Return when the first searcher of each service is warm, in seconds."""
+    times: dict[str, float] = {}
+    for name, searcher in registry.searchers.items():
+        if searcher.state is not SearcherState.READY:
+            continue
+        at = registry.seen_at[name] + searcher.cold_left_s
+        times[searcher.service] = min(times.get(searcher.service, at), at)
+    return times
--- a/packages/kumquatchuted/src/kumquatchuted/membership/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/task.py
@@ -19,12 +19,18 @@
 from kumquatchuted.membership import registry as reg
 from kumquatchuted.membership.sources import order_sources
 from kumquatchuted.membership.sources import Source
+from kumquatchuted.routing.acceptance import Held
+from kumquatchuted.routing.acceptance import hold
+from kumquatchuted.routing.acceptance import may_take_effect
 from kumquatchuted.routing.acceptance import newest
 from kumquatchuted.routing.messages import Manifest
 from kumquatchuted.routing.messages import ManifestChanged
 
 log = Logger("membership")
 
+# While a manifest waits for its shards, their warmth is looked at this often.
+HOLD_CHECK_S = 0.1
+
 
 class MembershipTask:
     """Owns the registry, the manifest and the evacuations."""
@@ -46,6 +52,7 @@
         self._clock = clock
         self._registry = reg.EMPTY
         self._manifest: Manifest | None = None
+        self._held: Held | None = None
         self._evacuated: frozenset[str] = frozenset()
         self._nodes: dict[str, Node] = {}
         self._sources = order_sources(
@@ -70,12 +77,16 @@
             if message is not None:
                 self._apply(message)
             self._registry = reg.expire(self._registry, self._clock())
+            self._take_effect()
             if before != (self._registry, self._evacuated, self._nodes):
                 self._publish()
 
     def _patience(self) -> float | None:
-        expiry = reg.next_expiry(self._registry)
-        return None if expiry is None else max(0.0, expiry - self._clock())
+        times = [reg.next_expiry(self._registry)]
+        if self._held is not None:
+            times += [self._held.until, self._clock() + HOLD_CHECK_S]
+        due = [time for time in times if time is not None]
+        return max(0.0, min(due) - self._clock()) if due else None
 
     def _apply(self, message: object) -> None:
         now = self._clock()
@@ -91,9 +102,10 @@
                     self._registry, change.written, change.removed, now
                 )
             case TopicListed(topic=Topic.MANIFEST, objects=objects):
-                self._accept(objects)
+                # Nobody knows how old this change is, so it does not wait.
+                self._read_manifests(objects, 0.0)
             case TopicChanged(topic=Topic.MANIFEST, written=written):
-                self._accept(written)
+                self._read_manifests(written, self._cfg.limits.apply_s)
             case TopicListed(topic=Topic.EVACUATIONS, objects=objects):
                 self._evacuate(frozenset(item.name for item in objects))
             case TopicChanged(topic=Topic.EVACUATIONS) as change:
@@ -127,24 +139,38 @@
             cfg.node, cfg.data_centre, self._nodes, cfg.seeds, cfg.store
         )
 
-    def _accept(self, objects: tuple) -> None:
+    def _read_manifests(
+        self, objects: tuple[Stored, ...], apply_s: float
+    ) -> None:
         for item in objects:
-            if not isinstance(item.value, Manifest):
-                if item.value is None:
-                    log.warning("manifest rejected name={}", item.name)
+            if item.value is None:
+                log.warning("manifest rejected name={}", item.name)
                 continue
-            accepted = newest(self._manifest, item.value)
-            if accepted is self._manifest:
+            if newest(self._manifest, item.value) is self._manifest:
                 continue
-            log.info(
-                "manifest in force version={} former={} routes={}",
-                accepted.version,
-                self._manifest and self._manifest.version,
-                len(accepted.routes),
-            )
-            self._manifest = accepted
-            for post in self._posts:
-                post(ManifestChanged(accepted))
+            now = self._clock()
+            self._held = hold(self._held, item.value, apply_s, now)
+            log.info("manifest read version={}", item.value.version)
+
+    def _take_effect(self) -> None:
+        held = self._held
+        if held is None:
+            return
+        warm_at = reg.warm_times(self._registry)
+        now = self._clock()
+        if not may_take_effect(held, self._manifest, warm_at, now):
+            return
+        former = self._manifest
+        self._held, self._manifest = None, held.manifest
+        log.info(
+            "manifest in force version={} former={} routes={} spare_s={:.2f}",
+            held.manifest.version,
+            former and former.version,
+            len(held.manifest.routes),
+            held.until - now,
+        )
+        for post in self._posts:
+            post(ManifestChanged(held.manifest))
 
     def _evacuate(self, data_centres: frozenset[str]) -> None:
         if data_centres != self._evacuated:
--- a/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
@@ -17,8 +17,11 @@
 from kumquatchuted.membership.reading import HistoryGone
 from kumquatchuted.membership.reading import Listing
 from kumquatchuted.membership.reading import TopicReader
+from kumquatchuted.membership.sources import Source
 
 READER = TopicReader("things", lambda name, item: name)
+STORE = Source("10.0.0.1:80", is_store=True)
+RELAY = Source("10.0.0.2:80", is_store=False)
 DOWN = Failure(ErrorKind.UNAVAILABLE, "down")
 
 
@@ -30,13 +33,19 @@
         self.listings = listings
         self.watches = watches
         self.revisions: list[int] = []
+        self.asked: list[Source] = []
 
-    async def list_all(self, reader: TopicReader) -> object:
+    async def list_all(self, source: Source, reader: TopicReader) -> object:
         """Return the next listing."""
+        self.asked.append(source)
         return self.listings.pop(0)
 
     async def watch(
-        self, reader: TopicReader, revision: int, wait_s: float
+        self,
+        source: Source,
+        reader: TopicReader,
+        revision: int,
+        wait_s: float,
     ) -> object:
         """Return the next result, or wait for ever."""
         self.revisions.append(revision)
@@ -46,7 +55,9 @@
 
 
 async def follow(
-    store: ScriptedStore, on_failure: Callable = lambda: None
+    store: ScriptedStore,
+    on_failure: Callable = lambda: None,
+    sources: tuple[Source, ...] = (STORE,),
 ) -> tuple[list, Follower, asyncio.Task]:
     """Run a follower until it waits in the last watch."""
     posted: list = []
@@ -58,8 +69,10 @@
         Topic.SEARCHERS,
         store,
         READER,
+        lambda: sources,
         posted.append,
         random.Random(1),
+        lambda: 0.0,
         2.0,
         on_failure,
         no_sleep,
@@ -143,9 +156,38 @@
 
     async def scenario() -> None:
         told = []
-        store = ScriptedStore([Listing((), 5)], [DOWN, DOWN])
+        store = ScriptedStore([Listing((), 5), Listing((), 7)], [DOWN])
         _, _, task = await follow(store, lambda: told.append(1))
         task.cancel()
         assert told == [1]
 
     asyncio.run(scenario())
+
+
+def test_source_that_lost_the_watch_is_listed_first() -> None:
+    """Guards against two readers that follow each other's old state.
+
+    On day scale-2 every reader left the store for a relay that was as old
+    as itself, and new searchers were seen 2 s late.
+    """
+
+    async def scenario() -> None:
+        store = ScriptedStore([Listing((), 5), Listing((), 7)], [DOWN])
+        _, _, task = await follow(store, sources=(STORE, RELAY))
+        task.cancel()
+        assert store.asked == [STORE, STORE]
+
+    asyncio.run(scenario())
+
+
+def test_next_source_is_read_when_the_first_one_is_down() -> None:
+    """Guards against a node that the store turns away and that stays blind."""
+
+    async def scenario() -> None:
+        store = ScriptedStore([DOWN, Listing((), 5)], [])
+        posted, _, task = await follow(store, sources=(STORE, RELAY))
+        task.cancel()
+        assert store.asked == [STORE, RELAY]
+        assert posted == [TopicListed(Topic.SEARCHERS, ())]
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_sources.py
@@ -0,0 +1,51 @@
+"""Which source a node reads: the store, or another node."""
+
+from kumquatchuted.membership.messages import Node
+from kumquatchuted.membership.sources import order_sources
+from kumquatchuted.membership.sources import Source
+
+STORE = "10.9.9.9:80"
+
+
+def fleet(*sizes: int) -> dict[str, Node]:
+    """Return nodes of data centres dc0, dc1 and so on."""
+    nodes = {}
+    for number, size in enumerate(sizes):
+        for index in range(size):
+            name = f"n{number}-{index}"
+            address = f"10.{number}.0.{index}:80"
+            nodes[name] = Node(name, address, f"dc{number}")
+    return nodes
+
+
+def sources(name: str, nodes: dict[str, Node]) -> tuple[Source, ...]:
+    """Return the sources of a node."""
+    data_centre = nodes[name].data_centre
+    return order_sources(name, data_centre, nodes, (), STORE)
+
+
+def test_readers_of_the_store_do_not_grow_with_the_fleet() -> None:
+    """Guards against calls of the store that grow with the fleet."""
+    for size in (1, 12, 260):
+        nodes = fleet(size, size, size)
+        readers = [name for name in nodes if sources(name, nodes)[0].is_store]
+        assert len(readers) == 3
+
+
+def test_every_node_can_fall_back_on_the_store() -> None:
+    """Guards against a data centre that goes blind with its reader."""
+    nodes = fleet(5, 3)
+    for name in nodes:
+        found = sources(name, nodes)
+        assert Source(STORE, is_store=True) in found
+        assert nodes[name].address not in {item.address for item in found}
+        assert len(set(found)) == len(found)
+
+
+def test_node_that_knows_no_other_reads_the_store_and_the_seeds() -> None:
+    """Guards against a restart during an outage that leaves a node blind."""
+    found = order_sources("n1", "dc", {}, ("10.0.0.5:80",), STORE)
+    assert found == (
+        Source(STORE, is_store=True),
+        Source("10.0.0.5:80", is_store=False),
+    )
--- a/packages/kumquatchuted/src/kumquatchuted/platform/settings.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/settings.py
@@ -24,6 +24,7 @@
 class _Bounds(msgspec.Struct, rename="camel"):
     # The names on the left are shortened where a word of the platform says
     # little: slack and ratio are per window, over all nodes.
+    config_apply_ms: float
     drain_ms: float
     grace_s: float
     retry_budget_ratio: float = 0.2
@@ -72,6 +73,7 @@
         seeds=tuple(raw.seeds),
         store=raw.platform.address,
         limits=GatewayLimits(
+            apply_s=bounds.config_apply_ms / MS_PER_S,
             drain_s=bounds.drain_ms / MS_PER_S,
             grace_s=bounds.grace_s,
             retry_ratio=bounds.retry_budget_ratio,
--- a/packages/kumquatchuted/src/kumquatchuted/routing/acceptance.py
+++ b/packages/kumquatchuted/src/kumquatchuted/routing/acceptance.py
@@ -1,7 +1,27 @@
-"""Decides whether a manifest that was read replaces the one in force."""
+"""Decides when a manifest that was read replaces the one in force."""
 
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from kumquatchuted.routing.messages import AllShards
 from kumquatchuted.routing.messages import Manifest
 
+# A version may take effect within the seconds that the platform's operators
+# allow. A node uses this part of them to wait for new shards to warm up; the
+# rest covers the delay of the watch.
+HOLD_SHARE = 0.35
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """A manifest that waits for its new shards.
+
+    :param until: latest monotonic time at which it takes effect, in seconds
+    """
+
+    manifest: Manifest
+    until: float
+
 
 def newest(current: Manifest | None, read: Manifest) -> Manifest:
     """Return the manifest with the greater version.
@@ -13,3 +33,46 @@
     if current is not None and read.version <= current.version:
         return current
     return read
+
+
+def hold(
+    held: Held | None, read: Manifest, apply_s: float, now: float
+) -> Held:
+    """Return the newest manifest that waits.
+
+    A newer version takes the place of an older one that waits, and takes
+    effect no later than that one would have.
+
+    :param apply_s: time in which a version must take effect, in seconds
+    """
+    if held is None:
+        return Held(read, now + apply_s * HOLD_SHARE)
+    return Held(newest(held.manifest, read), held.until)
+
+
+def may_take_effect(
+    held: Held,
+    current: Manifest | None,
+    warm_at: Mapping[str, float],
+    now: float,
+) -> bool:
+    """Return whether the new shards are warm or the time is over.
+
+    While a new set of shards is still cold, queries over it would be refused
+    for the cold limit, and the former set still serves them.
+
+    :param warm_at: when the first searcher of a service is warm, in seconds
+    """
+    if current is None or now >= held.until:
+        return True
+    new = _shards(held.manifest) - _shards(current)
+    return all(warm_at.get(service, held.until) <= now for service in new)
+
+
+def _shards(manifest: Manifest) -> frozenset[str]:
+    return frozenset(
+        shard
+        for route in manifest.routes
+        if isinstance(route.destination, AllShards)
+        for shard in route.destination.shards
+    )
--- a/packages/kumquatchuted/src/kumquatchuted/routing/tests/test_routing.py
+++ b/packages/kumquatchuted/src/kumquatchuted/routing/tests/test_routing.py
@@ -1,8 +1,12 @@
 """Routes: match, acceptance of manifests, weighted split."""
 
 from collections import Counter
+from dataclasses import replace
 
+from kumquatchuted.routing.acceptance import hold
+from kumquatchuted.routing.acceptance import may_take_effect
 from kumquatchuted.routing.acceptance import newest
+from kumquatchuted.routing.messages import AllShards
 from kumquatchuted.routing.messages import CallerLimits
 from kumquatchuted.routing.messages import Manifest
 from kumquatchuted.routing.messages import OneService
@@ -58,6 +62,43 @@
     assert newest(None, manifest(3)).version == 3
 
 
+def gathering(version: int, *shards: str) -> Manifest:
+    """Return a manifest with one route over shards."""
+    base = route("a.example", "/x/")
+    return manifest(
+        version, replace(base, destination=AllShards(shards, 5, 0.9))
+    )
+
+
+def test_new_shards_are_awaited_until_they_are_warm() -> None:
+    """Guards against refused queries while a new set of shards is cold.
+
+    On day scale-2 45 queries met shards that were cold for another second,
+    while the former set still served.
+    """
+    held = hold(None, gathering(2, "s2"), 3.0, now=10.0)
+    warm_at = {"s1": 0.0, "s2": 10.4}
+    former = gathering(1, "s1")
+    assert not may_take_effect(held, former, warm_at, 10.3)
+    assert may_take_effect(held, former, warm_at, 10.4)
+    assert may_take_effect(held, None, warm_at, 10.0)
+
+
+def test_manifest_takes_effect_in_time_whatever_its_shards_do() -> None:
+    """Guards against a version that waits for shards which never come."""
+    held = hold(None, gathering(2, "s2"), 3.0, now=10.0)
+    later = hold(held, gathering(3, "s3"), 3.0, now=10.9)
+    assert later.manifest.version == 3
+    assert may_take_effect(later, gathering(1, "s1"), {}, held.until)
+    assert held.until < 10.0 + 3.0 / 2
+
+
+def test_manifest_without_new_shards_does_not_wait() -> None:
+    """Guards against a delay of each change."""
+    held = hold(None, gathering(2, "s1"), 3.0, now=10.0)
+    assert may_take_effect(held, gathering(1, "s1"), {}, 10.0)
+
+
 def test_split_keeps_the_weights_in_every_stretch() -> None:
     """Guards against shares that are right only on average."""
     state = start_split((WeightedService("a", 3), WeightedService("b", 1)))
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
@@ -53,10 +53,12 @@
     """Send a query to a searcher of each shard, or to none.
 
     :param least: number of orders that must have a usable searcher
+    :param reply_to: receives ``NoneSent`` if there are fewer
     """
 
     orders: tuple[SendAttempt, ...]
     least: int
+    reply_to: Callable[[object], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +77,6 @@
 
     NO_SEARCHER = "no searcher is usable"
     NO_BUDGET = "the allowance for repeated sends is used"
-    TOO_FEW = "too few shards have a usable searcher"
     BUSY = "all usable searchers are at their limit"
 
 
@@ -132,6 +133,16 @@
     result: Reply | Lost | Refusal
 
 
+@dataclass(frozen=True, slots=True)
+class NoneSent:
+    """None of the orders of ``SendShards`` was carried out.
+
+    :param usable: number of orders that had a usable searcher
+    """
+
+    usable: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestCounted:
     """A caller's request arrived, which adds to allowances.
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -39,6 +39,7 @@
 from kumquatchuted.searchers.messages import AttemptDone
 from kumquatchuted.searchers.messages import AttemptSent
 from kumquatchuted.searchers.messages import Lost
+from kumquatchuted.searchers.messages import NoneSent
 from kumquatchuted.searchers.messages import Refusal
 from kumquatchuted.searchers.messages import Reply
 from kumquatchuted.searchers.messages import RequestCounted
@@ -141,8 +142,8 @@
                 self._answered(message)
             case SendAttempt():
                 self._start(message)
-            case SendShards(orders=orders, least=least):
-                self._start_all(orders, least)
+            case SendShards():
+                self._start_all(message)
             case Opened(connection=connection):
                 self._opened(connection)
             case Ended():
@@ -180,18 +181,20 @@
             excluded.append(searcher.name)
         self._refuse(order, refusal)
 
-    def _start_all(self, orders: tuple[SendAttempt, ...], least: int) -> None:
+    def _start_all(self, message: SendShards) -> None:
         now = self._clock()
+        orders = message.orders
         for order in orders:
             self._add_allowance(order.service)
         usable = sum(
             1 for order in orders if self._choose(order, [], now) is not None
         )
+        if usable < message.least:
+            self._count("refused", "too_few")
+            message.reply_to(NoneSent(usable))
+            return
         for order in orders:
-            if usable < least:
-                self._refuse(order, Refusal.TOO_FEW)
-            else:
-                self._start(order)
+            self._start(order)
 
     def _choose(
         self, order: SendAttempt, excluded: list[str], now: float
