Let nodes near the shards gather and merge a part of a query

Ruled out: fewer headers (the answers are most of it). Change: shards without a usable near searcher are grouped by data centre, and a node there gathers and merges them; if it is lost, the shards are asked directly.

--- a/packages/kumquatchuted/src/kumquatchuted/front/app.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/app.py
@@ -5,6 +5,7 @@
 
 import falcon
 import falcon.asgi
+from logbook import Logger
 import msgspec
 
 from kumquatchute_model.errors import ANSWERS
@@ -15,11 +16,16 @@
 from kumquatchuted.front.router import Router
 from kumquatchuted.http.disconnect import Application
 from kumquatchuted.http.disconnect import CancelOnDisconnect
+from kumquatchuted.partials.codec import decode_partial
+from kumquatchuted.partials.codec import encode
+from kumquatchuted.partials.messages import PartialRequest
 from kumquatchuted.platform.callers import CallerRequest
 from kumquatchuted.platform.callers import decode_request
 from kumquatchuted.platform.callers import encode_retry_after
 from kumquatchuted.platform.relay import Relay
 
+log = Logger("front")
+
 # Callers honour a pause of up to a third of the time that they have left;
 # the fault of a searcher that was just noticed is not over sooner.
 RETRY_SHARE = 0.3
@@ -158,9 +164,33 @@
             resp.data = msgspec.json.encode(page.content)
 
 
-def peer_app(relay: Relay) -> Application:
+class PartialResource:
+    """Gathers a part of a query for another node."""
+
+    def __init__(self, gather: Callable) -> None:
+        """Create the resource.
+
+        :param gather: from a ``PartialRequest`` to a ``PartialAnswer``
+        """
+        self._gather = gather
+
+    async def on_post(
+        self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        """Answer with the digests and the merged records."""
+        message = decode_partial(await req.stream.read())
+        match message:
+            case Failure(reason=reason):
+                log.warning("request of a node rejected cause={}", reason)
+                resp.status = ANSWERS[message.kind].http_status
+            case PartialRequest():
+                resp.data = encode(await self._gather(message))
+
+
+def peer_app(relay: Relay, gather: Callable) -> Application:
     """Return the application for other nodes."""
     app = falcon.asgi.App()
+    app.add_route("/partials", PartialResource(gather))
     app.add_route("/objects/{kind}", RelayResource(relay))
     return CancelOnDisconnect(app)
 
--- a/packages/kumquatchuted/src/kumquatchuted/front/router.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/router.py
@@ -45,15 +45,18 @@
         self,
         state: Callable[[], FrontState],
         post: Post,
+        delegate: Post,
         clock: Callable[[], float],
     ) -> None:
         """Create a router.
 
         :param state: returns the manifest in force
         :param post: mailbox of the task of searchers
+        :param delegate: mailbox of the task of partial queries
         """
         self._state = state
         self._post = post
+        self._delegate = delegate
         self._clock = clock
         self._splits: dict[str, SplitState] = {}
         self._longest: dict[str, float] = {}
@@ -114,6 +117,7 @@
             times.give_up_at,
             self._post,
             self._clock,
+            self._delegate,
         )
         finish = await task.run()
         if finish.failure is not None:
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -22,6 +22,10 @@
 from kumquatchuted.membership.messages import Topic
 from kumquatchuted.membership.sources import Source
 from kumquatchuted.membership.task import MembershipTask
+from kumquatchuted.partials.messages import PartialAnswer
+from kumquatchuted.partials.messages import PartialRequest
+from kumquatchuted.partials.serving import gather_part
+from kumquatchuted.partials.task import PartialsTask
 from kumquatchuted.platform.decoding import EVACUATION_READER
 from kumquatchuted.platform.decoding import MANIFEST_READER
 from kumquatchuted.platform.decoding import NODE_READER
@@ -80,21 +84,36 @@
     front = FrontTask(
         requests, cfg.limits.grace_s, close_listeners, stop, clock
     )
-    searchers = SearchersTask(cfg, clock, rng, metrics.count)
+    partials = PartialsTask(cfg, clock, rng, metrics.count)
+    searchers = SearchersTask(
+        cfg, clock, rng, metrics.count, partials.mailbox.post
+    )
     membership = MembershipTask(
-        cfg, (searchers.mailbox.post, front.mailbox.post), clock
+        cfg,
+        (
+            searchers.mailbox.post,
+            front.mailbox.post,
+            partials.mailbox.post,
+        ),
+        clock,
     )
     relay = Relay(clock)
     client = ObjectClient(relay)
     followers = _followers(client, membership, rng, clock)
     membership.restarts = tuple(item.restart for item in followers)
-    router = Router(front.state, searchers.mailbox.post, clock)
+    router = Router(
+        front.state, searchers.mailbox.post, partials.mailbox.post, clock
+    )
     sink = CallerSink(router, front.state, requests, metrics.count)
     callers = Listener(caller_app(sink), front.state)
     operations_asgi = operations_app(front.state, metrics.render)
     operations = Listener(operations_asgi, front.state)
     measures = Listener(operations_asgi, front.state)
-    peers = Listener(peer_app(relay), front.state)
+
+    async def gather(req: PartialRequest) -> PartialAnswer:
+        return await gather_part(req, searchers.mailbox.post, clock)
+
+    peers = Listener(peer_app(relay, gather), front.state)
     listeners += [callers, peers]
 
     async def open_listeners() -> Failure | None:
@@ -107,6 +126,10 @@
             fault = await measures.open(cfg.metrics)
         return fault
 
+    async def close_clients() -> None:
+        await client.close()
+        await partials.close()
+
     async def register() -> None:
         node = Node(cfg.node, cfg.peers, cfg.data_centre)
         store = Source(cfg.store, is_store=True)
@@ -120,12 +143,13 @@
         runs=(
             membership.run,
             searchers.run,
+            partials.run,
             front.run,
             *(follower.run for follower in followers),
             lambda: run_forever(register),
         ),
         open=open_listeners,
-        close=client.close,
+        close=close_clients,
         request_stop=lambda: front.mailbox.post(StopRequested()),
     )
 
--- a/packages/kumquatchuted/src/kumquatchuted/gather/decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/decide.py
@@ -16,6 +16,8 @@
 from kumquatchuted.gather.messages import Event
 from kumquatchuted.gather.messages import Finish
 from kumquatchuted.gather.messages import NotSent
+from kumquatchuted.gather.messages import PartDone
+from kumquatchuted.gather.messages import PartSent
 from kumquatchuted.gather.messages import SendAll
 from kumquatchuted.gather.messages import SendShard
 from kumquatchuted.gather.messages import ShardDone
@@ -23,6 +25,7 @@
 from kumquatchuted.gather.messages import Started
 from kumquatchuted.gather.messages import Woken
 from kumquatchuted.retries import progress as pg
+from kumquatchuted.searchers.messages import Lost
 from kumquatchuted.searchers.messages import Refusal
 
 # Ratios such as 0.85 * 20 are not exact in binary.
@@ -73,7 +76,12 @@
             item = pg.chosen(state.shards[shard], searcher, now + late_s)
             return _with_shard(state, shard, item), ()
         case ShardDone(shard=shard, result=result):
-            state, actions = _shard_done(state, shard, result)
+            policy = state.plan.policy
+            state, actions = _shard_done(state, shard, result, policy)
+        case PartSent(shards=shards):
+            return _part_sent(state, shards), ()
+        case PartDone():
+            state, actions = _part_done(state, event)
         case NotSent(usable=usable):
             return state, (_refuse(state, usable),)
         case Woken():
@@ -106,9 +114,9 @@
 
 
 def _shard_done(
-    state: QueryState, shard: int, result: object
+    state: QueryState, shard: int, result: object, policy: pg.Policy
 ) -> tuple[QueryState, tuple[Action, ...]]:
-    item, repeat = pg.finished(state.shards[shard], result, state.plan.policy)
+    item, repeat = pg.finished(state.shards[shard], result, policy)
     if repeat is None:
         return _with_shard(state, shard, item), ()
     return _with_shard(state, shard, pg.ordered(item)), (
@@ -131,25 +139,61 @@
     shards = state.plan.shards
     reason = f"{usable} of {shards} shards have a usable searcher"
     failure = Failure(ErrorKind.UNAVAILABLE, reason, not_run=True)
-    return Finish((), shards, failure)
+    return Finish((), (), shards, failure)
+
+
+def _part_sent(state: QueryState, shards: tuple[int, ...]) -> QueryState:
+    """Return the state while another node gathers some of the shards.
+
+    Only after the time for an answer is the node taken for late: its own
+    attempts repeat what is late before.
+    """
+    for shard in shards:
+        item = pg.delegated(state.shards[shard], state.plan.answer_at)
+        state = _with_shard(state, shard, item)
+    return state
+
+
+def _part_done(
+    state: QueryState, event: PartDone
+) -> tuple[QueryState, tuple[Action, ...]]:
+    for shard, reply in event.parts:
+        item = pg.covered(state.shards[shard], reply)
+        state = _with_shard(state, shard, item)
+    covered = {shard for shard, _ in event.parts}
+    parts = sum(1 for item in state.shards if item.reply is not None)
+    policy = state.plan.policy
+    if event.lost is None and parts >= least_shards(state.plan):
+        # The other node has already tried other searchers.
+        policy = replace(policy, max_attempts=1)
+    result = event.lost or Lost("the other node has no answer", sent=True)
+    actions: tuple[Action, ...] = ()
+    for shard in event.shards:
+        if shard not in covered:
+            state, more = _shard_done(state, shard, result, policy)
+            actions += more
+    return state, actions
 
 
 def _finish(state: QueryState, now: float) -> Finish | None:
     plan = state.plan
-    parts = tuple(
-        item.reply for item in state.shards if item.reply is not None
+    covered = tuple(
+        shard
+        for shard, item in enumerate(state.shards)
+        if item.reply is not None
     )
+    parts = tuple(state.shards[shard].reply for shard in covered)
     open_ = sum(1 for item in state.shards if not item.is_settled())
     least = least_shards(plan)
     enough = len(parts) >= least
     if enough and (open_ == 0 or now >= plan.answer_at):
-        return Finish(parts, plan.shards - len(parts))
+        return Finish(covered, parts, plan.shards - len(parts))
     if len(parts) + open_ < least:
-        return Finish((), plan.shards, _too_few(state))
+        return Finish((), (), plan.shards, _too_few(state))
     if now >= plan.give_up_at:
         reason = f"{len(parts)} of {plan.shards} shards answered in time"
         failure = Failure(ErrorKind.DEADLINE_EXCEEDED, reason)
-        return Finish((), plan.shards, failure)
+        return Finish((), (), plan.shards, failure)
     return None
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/gather/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/messages.py
@@ -33,6 +33,26 @@
     result: Reply | Lost | Refusal
 
 
+@dataclass(frozen=True, slots=True)
+class PartSent:
+    """Another node gathers some of the shards."""
+
+    shards: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PartDone:
+    """Another node answered for some of the shards, or is lost.
+
+    :param parts: answers of the covered shards, to be used together: one
+        holds the merged records of all
+    """
+
+    shards: tuple[int, ...]
+    parts: tuple[tuple[int, Reply], ...]
+    lost: Lost | None
+
+
 @dataclass(frozen=True, slots=True)
 class NotSent:
     """Too few shards have a usable searcher, so that nothing was sent."""
@@ -45,7 +65,7 @@
     """The time of ``next_wake`` has come."""
 
 
-Event = Started | ShardSent | ShardDone | NotSent | Woken
+Event = Started | ShardSent | ShardDone | PartSent | PartDone | NotSent | Woken
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,10 +91,12 @@
 class Finish:
     """End the query with an answer or a failure.
 
-    :param parts: answers of the shards that are included
+    :param shards: positions of the shards that are included
+    :param parts: their answers, in the same order
     :param missing: number of shards without one
     """
 
+    shards: tuple[int, ...]
     parts: tuple[Reply, ...]
     missing: int
     failure: Failure | None = None
--- a/packages/kumquatchuted/src/kumquatchuted/gather/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -13,6 +13,8 @@
 from kumquatchuted.gather.messages import Event
 from kumquatchuted.gather.messages import Finish
 from kumquatchuted.gather.messages import NotSent
+from kumquatchuted.gather.messages import PartDone
+from kumquatchuted.gather.messages import PartSent
 from kumquatchuted.gather.messages import SendAll
 from kumquatchuted.gather.messages import SendShard
 from kumquatchuted.gather.messages import ShardDone
@@ -21,6 +23,9 @@
 from kumquatchuted.gather.messages import Woken
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.mailbox import Post
+from kumquatchuted.partials.messages import AbandonPartial
+from kumquatchuted.partials.messages import PartialDone
+from kumquatchuted.partials.messages import PartialSent
 from kumquatchuted.retries.progress import Policy
 from kumquatchuted.routing.messages import AllShards
 from kumquatchuted.routing.messages import Route
@@ -62,12 +67,15 @@
         give_up_at: float,
         post: Post,
         clock: Callable[[], float],
+        delegate: Post | None = None,
     ) -> None:
         """Create the task.
 
         :param answer_at: last moment for an answer within the objective
         :param give_up_at: when the caller must have an answer
         :param post: mailbox of the task of searchers
+        :param delegate: mailbox of the task of partial queries; None if
+            other nodes may not gather a part of the query
         """
         self.mailbox = Mailbox()
         self.attempts = 0
@@ -76,6 +84,9 @@
         self._shards = destination.shards
         self._outgoing = outgoing
         self._post = post
+        self._delegate = delegate
+        self._top = 0 if delegate is None else destination.top
+        self._partials: set[object] = set()
         self._clock = clock
         self._pending: set[QueryKey] = set()
         self._state = start(
@@ -98,6 +109,8 @@
         finally:
             for key in self._pending:
                 self._post(AbandonAttempt(key, linger_s))
+            for key in self._partials:
+                self._delegate(AbandonPartial(key))
 
     async def _run(self) -> Finish:
         finish = self._step(Started())
@@ -123,6 +136,12 @@
             case AttemptDone(key=key, result=result):
                 self._pending.discard(key)
                 return ShardDone(key.shard, result)
+            case PartialSent(key=key, shards=shards):
+                self._partials.add(key)
+                return PartSent(shards)
+            case PartialDone(key=key, shards=shards, parts=parts, lost=lost):
+                self._partials.discard(key)
+                return PartDone(shards, parts, lost)
             case NoneSent(usable=usable):
                 self._pending.clear()
                 return NotSent(usable)
@@ -143,7 +162,15 @@
                     self._order(shard, (), is_repeat=False)
                     for shard in range(len(self._shards))
                 )
-                self._post(SendShards(orders, least, self.mailbox.post))
+                self._post(
+                    SendShards(
+                        orders,
+                        least,
+                        self._top,
+                        self._state.plan.answer_at,
+                        self.mailbox.post,
+                    )
+                )
             case SendShard(shard=shard, exclude=exclude, is_repeat=repeat):
                 self._post(self._order(shard, exclude, repeat))
 
--- a/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
@@ -50,7 +50,9 @@
     """Guards against a complete answer that is held back."""
     state = answered(started(), 0, 1, 2)
     _, actions = dc.decide(state, ShardDone(3, part(3)), 0.03)
-    assert actions == (Finish(tuple(part(n) for n in range(4)), 0),)
+    assert actions == (
+        Finish((0, 1, 2, 3), tuple(part(n) for n in range(4)), 0),
+    )
 
 
 def test_missing_parts_are_awaited_until_the_objective() -> None:
@@ -69,7 +71,7 @@
     state, actions = dc.decide(state, Woken(), ANSWER_AT + 0.01)
     assert not [item for item in actions if isinstance(item, Finish)]
     _, actions = dc.decide(state, ShardDone(2, part(2)), 0.3)
-    assert actions == (Finish((part(0), part(1), part(2)), 1),)
+    assert actions == (Finish((0, 1, 2), (part(0), part(1), part(2)), 1),)
 
 
 def test_late_shard_is_sent_to_another_searcher() -> None:
@@ -86,7 +88,9 @@
     state = answered(started(), 0, 1, 2)
     state, _ = dc.decide(state, Woken(), 0.03)
     state, actions = dc.decide(state, ShardDone(3, part(3)), 0.04)
-    assert actions == (Finish(tuple(part(n) for n in range(4)), 0),)
+    assert actions == (
+        Finish((0, 1, 2, 3), tuple(part(n) for n in range(4)), 0),
+    )
 
 
 def test_query_that_cannot_be_served_fails_before_anything_is_sent() -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/membership/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/messages.py
@@ -104,10 +104,10 @@
     :param searchers: usable and draining searchers by name
     :param seen_at: monotonic time of each searcher's last report, seconds
     :param evacuated: data centres that receive no new work
-    :param nodes: names of the nodes of this system
+    :param nodes: nodes of this system by name
     """
 
     searchers: Mapping[str, Searcher]
     seen_at: Mapping[str, float]
     evacuated: frozenset[str]
-    nodes: frozenset[str]
+    nodes: Mapping[str, Node]
--- a/packages/kumquatchuted/src/kumquatchuted/membership/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/task.py
@@ -217,7 +217,7 @@
             self._registry.searchers,
             self._registry.seen_at,
             self._evacuated,
-            frozenset(self._nodes),
+            self._nodes,
         )
         for post in self._posts:
             post(message)
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/codec.py
@@ -0,0 +1,36 @@
+"""Encoding of the messages between nodes: MessagePack."""
+
+import msgspec
+
+from kumquatchute_model.errors import ErrorKind
+from kumquatchute_model.errors import Failure
+from kumquatchuted.partials.messages import PartialAnswer
+from kumquatchuted.partials.messages import PartialRequest
+
+_request = msgspec.msgpack.Decoder(PartialRequest)
+_answer = msgspec.msgpack.Decoder(PartialAnswer)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode(message: PartialRequest | PartialAnswer) -> bytes:
+    """Return the bytes of a message."""
+    return _encoder.encode(message)
+
+
+def decode_partial(data: bytes) -> PartialRequest | Failure:
+    """Decode a request of another node."""
+    return _decode(_request, data)
+
+
+def decode_answer(data: bytes) -> PartialAnswer | Failure:
+    """Decode the answer of another node."""
+    return _decode(_answer, data)
+
+
+def _decode(
+    decoder: msgspec.msgpack.Decoder, data: bytes
+) -> PartialRequest | PartialAnswer | Failure:
+    try:
+        return decoder.decode(data)
+    except msgspec.DecodeError as exc:
+        return Failure(ErrorKind.MALFORMED, f"message of a node: {exc}")
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/messages.py
@@ -0,0 +1,96 @@
+"""Messages about a part of a query that another node gathers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from kumquatchuted.routing.messages import Route
+from kumquatchuted.searchers.messages import Lost
+from kumquatchuted.searchers.messages import Outgoing
+from kumquatchuted.searchers.messages import Reply
+
+
+@dataclass(frozen=True, slots=True)
+class PartialOrder:
+    """Let a node of another data centre query some of the shards.
+
+    :param key: names the order; chosen by the sender
+    :param data_centre: where the node is
+    :param shards: positions of the shards in the query
+    :param services: the shards, in the same order
+    :param top: number of records that the query asks for
+    :param answer_at: monotonic time at which its answer must be here
+    :param reply_to: receives ``PartialSent`` and then ``PartialDone``
+    """
+
+    key: object
+    route: Route
+    data_centre: str
+    shards: tuple[int, ...]
+    services: tuple[str, ...]
+    top: int
+    outgoing: Outgoing
+    answer_at: float
+    reply_to: Callable[[object], None]
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonPartial:
+    """The result of an order is no longer needed."""
+
+    key: object
+
+
+@dataclass(frozen=True, slots=True)
+class PartialSent:
+    """A node was chosen."""
+
+    key: object
+    shards: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PartialDone:
+    """The result of an order.
+
+    :param parts: position and answer of each covered shard; the first one
+        holds the merged records of all
+    :param lost: why there is none; None if the node answered
+    """
+
+    key: object
+    shards: tuple[int, ...]
+    parts: tuple[tuple[int, Reply], ...]
+    lost: Lost | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PartialRequest:
+    """What a node asks of another one.
+
+    :param answer_ms: time until the answer must leave, in milliseconds
+    """
+
+    route: str
+    objective_ms: float
+    max_attempts: int
+    services: tuple[str, ...]
+    top: int
+    request_id: bytes
+    method: bytes
+    head: bytes
+    body: bytes
+    answer_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class PartialAnswer:
+    """What the other node answers.
+
+    :param covered: positions within the services of the request
+    :param stamps: digests of their answers, in the same order
+    :param records: greatest records of all of them, greatest first
+    """
+
+    covered: tuple[int, ...]
+    stamps: tuple[bytes, ...]
+    records: bytes
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/serving.py
@@ -0,0 +1,48 @@
+"""Gathers a part of a query for another node."""
+
+from collections.abc import Callable
+
+from kumquatchuted.gather.merge import merge_records
+from kumquatchuted.gather.task import GatherTask
+from kumquatchuted.mailbox import Post
+from kumquatchuted.partials.messages import PartialAnswer
+from kumquatchuted.partials.messages import PartialRequest
+from kumquatchuted.routing.messages import AllShards
+from kumquatchuted.routing.messages import Route
+from kumquatchuted.searchers.messages import Outgoing
+
+MS_PER_S = 1000
+
+
+async def gather_part(
+    req: PartialRequest, post: Post, clock: Callable[[], float]
+) -> PartialAnswer:
+    """Query the shards and answer in time with those that answered.
+
+    :param post: mailbox of the task of searchers
+    :param clock: monotonic time in seconds
+    """
+    answer_at = clock() + req.answer_ms / MS_PER_S
+    # The other node decides whether the parts suffice.
+    shards = AllShards(req.services, req.top, min_coverage=0.0)
+    route = Route(
+        name=req.route,
+        host="",
+        prefix="/",
+        idempotent=True,
+        timeout_s=req.answer_ms / MS_PER_S,
+        objective_s=req.objective_ms / MS_PER_S,
+        priority=0,
+        max_attempts=req.max_attempts,
+        destination=shards,
+    )
+    outgoing = Outgoing(req.request_id, req.method, req.head, req.body)
+    task = GatherTask(
+        route, shards, outgoing, answer_at, answer_at, post, clock
+    )
+    finish = await task.run()
+    return PartialAnswer(
+        covered=finish.shards,
+        stamps=tuple(part.stamp for part in finish.parts),
+        records=merge_records((part.body for part in finish.parts), req.top),
+    )
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -0,0 +1,195 @@
+"""The task that lets other nodes gather parts of queries."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import aiohttp
+from logbook import Logger
+
+from kumquatchute_model.errors import Failure
+from kumquatchuted.gateway.settings import GatewaySettings
+from kumquatchuted.mailbox import Mailbox
+from kumquatchuted.membership.messages import MembersChanged
+from kumquatchuted.membership.messages import Node
+from kumquatchuted.partials.codec import decode_answer
+from kumquatchuted.partials.codec import encode
+from kumquatchuted.partials.messages import AbandonPartial
+from kumquatchuted.partials.messages import PartialAnswer
+from kumquatchuted.partials.messages import PartialDone
+from kumquatchuted.partials.messages import PartialOrder
+from kumquatchuted.partials.messages import PartialRequest
+from kumquatchuted.partials.messages import PartialSent
+from kumquatchuted.partials.nodes import choose_node
+from kumquatchuted.partials.nodes import NodeState
+from kumquatchuted.partials.nodes import record_failure
+from kumquatchuted.searchers.messages import Lost
+from kumquatchuted.searchers.messages import Reply
+
+log = Logger("partials")
+
+# The way to the other node and back, its scheduling included, in seconds.
+WAY_S = 0.005
+# A node that answers this much later than asked is taken for lost.
+PATIENCE_S = 0.04
+CONNECT_TIMEOUT_S = 0.05
+MS_PER_S = 1000
+
+
+class PartialsTask:
+    """Owns the connections to other nodes and the orders under way."""
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        clock: Callable[[], float],
+        rng: random.Random,
+        count: Callable[[str, str], None],
+    ) -> None:
+        """Create the task.
+
+        :param clock: monotonic time in seconds
+        :param count: counts an event by its name and a label
+        """
+        self.mailbox = Mailbox()
+        self._cfg = cfg
+        self._clock = clock
+        self._rng = rng
+        self._count = count
+        self._nodes: dict[str, Node] = {}
+        self._states: dict[str, NodeState] = {}
+        self._calls: dict[object, asyncio.Task] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            match await self.mailbox.get():
+                case PartialOrder() as order:
+                    self._start(order)
+                case AbandonPartial(key=key):
+                    call = self._calls.pop(key, None)
+                    if call is not None:
+                        call.cancel()
+                case MembersChanged(nodes=nodes):
+                    self._nodes = {
+                        name: node
+                        for name, node in nodes.items()
+                        if name != self._cfg.node
+                    }
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _start(self, order: PartialOrder) -> None:
+        node = choose_node(
+            (
+                (node, self._states.get(node.name, NodeState()))
+                for node in self._nodes.values()
+            ),
+            order.data_centre,
+            self._clock(),
+            self._rng.random,
+        )
+        if node is None:
+            self._count("partials", "no_node")
+            lost = Lost("no node is usable there", sent=False)
+            order.reply_to(PartialDone(order.key, order.shards, (), lost))
+            return
+        order.reply_to(PartialSent(order.key, order.shards))
+        self._calls[order.key] = asyncio.ensure_future(self._call(node, order))
+
+    async def _call(self, node: Node, order: PartialOrder) -> None:
+        self._add_pending(node, 1)
+        try:
+            result = await self._exchange(node, order)
+        finally:
+            self._add_pending(node, -1)
+        self._calls.pop(order.key, None)
+        state = self._states.get(node.name, NodeState())
+        match result:
+            case Lost(reason=reason):
+                self._count("partials", "lost")
+                self._states[node.name] = record_failure(state, self._clock())
+                log.info(
+                    "order lost node={} cause={} request={}",
+                    node.name,
+                    reason,
+                    order.outgoing.request_id.decode("latin-1"),
+                )
+                done = PartialDone(order.key, order.shards, (), result)
+            case PartialAnswer():
+                self._count("partials", "answered")
+                self._states[node.name] = NodeState(state.pending)
+                parts = _parts(order, result)
+                done = PartialDone(order.key, order.shards, parts)
+        order.reply_to(done)
+
+    async def _exchange(
+        self, node: Node, order: PartialOrder
+    ) -> PartialAnswer | Lost:
+        left_s = order.answer_at - self._clock()
+        outgoing = order.outgoing
+        body = encode(
+            PartialRequest(
+                order.route.name,
+                order.route.objective_s * MS_PER_S,
+                order.route.max_attempts,
+                order.services,
+                order.top,
+                outgoing.request_id,
+                outgoing.method,
+                outgoing.head,
+                outgoing.body,
+                max(0.0, left_s - WAY_S) * MS_PER_S,
+            )
+        )
+        timeout = aiohttp.ClientTimeout(
+            total=max(0.0, left_s) + PATIENCE_S,
+            sock_connect=CONNECT_TIMEOUT_S,
+        )
+        url = f"http://{node.address}/partials"
+        try:
+            async with self._open().post(
+                url, data=body, timeout=timeout
+            ) as response:
+                answer = decode_answer(await response.read())
+                status = response.status
+        except aiohttp.ClientConnectorError as exc:
+            return Lost(f"{type(exc).__name__} {exc}", sent=False)
+        except aiohttp.ConnectionTimeoutError as exc:
+            return Lost(f"{type(exc).__name__} {exc}", sent=False)
+        except (aiohttp.ClientError, OSError) as exc:
+            # TimeoutError is an OSError.
+            return Lost(f"{type(exc).__name__} {exc}", sent=True)
+        if isinstance(answer, Failure):
+            return Lost(f"status {status}: {answer.reason}", sent=True)
+        return answer
+
+    def _add_pending(self, node: Node, number: int) -> None:
+        state = self._states.get(node.name, NodeState())
+        self._states[node.name] = NodeState(
+            state.pending + number, state.failures, state.avoided_until
+        )
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            )
+        return self._session
+
+
+def _parts(
+    order: PartialOrder, answer: PartialAnswer
+) -> tuple[tuple[int, Reply], ...]:
+    """Return a part for each covered shard; the first has the records."""
+    parts = []
+    for position, stamp in zip(answer.covered, answer.stamps):
+        body = b"" if parts else answer.records
+        reply = Reply(200, stamp, body, False, False, ())
+        parts.append((order.shards[position], reply))
+    return tuple(parts)
--- a/packages/kumquatchuted/src/kumquatchuted/retries/progress.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/progress.py
@@ -80,6 +80,21 @@
     )
 
 
+def delegated(progress: Progress, late_at: float) -> Progress:
+    """Return the state after another node was asked in place of a searcher."""
+    return replace(progress, sent=progress.sent + 1, late_at=late_at)
+
+
+def covered(progress: Progress, reply: Reply) -> Progress:
+    """Return the state after another node answered for this service.
+
+    Its answer replaces one that came meanwhile, because the records of all
+    services that the node covers are merged.
+    """
+    pending = max(0, progress.pending - 1)
+    return replace(progress, reply=reply, pending=pending, late_at=None)
+
+
 def finished(
     progress: Progress, result: Reply | Lost | Refusal, policy: Policy
 ) -> tuple[Progress, Repeat | None]:
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
@@ -53,11 +53,17 @@
     """Send a query to a searcher of each shard, or to none.
 
     :param least: number of orders that must have a usable searcher
-    :param reply_to: receives ``NoneSent`` if there are fewer
+    :param top: records that the answer holds if other nodes may gather a
+        part of the shards; 0 if they may not
+    :param answer_at: monotonic time at which their answers must be here
+    :param reply_to: receives ``NoneSent`` if there are fewer, and what the
+        task of partial queries reports
     """
 
     orders: tuple[SendAttempt, ...]
     least: int
+    top: int
+    answer_at: float
     reply_to: Callable[[object], None]
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -21,6 +21,9 @@
 from kumquatchuted.membership.messages import MembersChanged
 from kumquatchuted.membership.messages import Searcher
 from kumquatchuted.membership.messages import SearcherState
+from kumquatchuted.partials.grouping import Group
+from kumquatchuted.partials.grouping import group_far_shards
+from kumquatchuted.partials.messages import PartialOrder
 from kumquatchuted.platform import searchers as wire
 from kumquatchuted.retries import budget as bud
 from kumquatchuted.routing.messages import ManifestChanged
@@ -102,17 +105,20 @@
         clock: Callable[[], float],
         rng: random.Random,
         on_event: Callable[[str, str], None] = lambda name, label: None,
+        delegate: Callable[[object], None] = lambda order: None,
     ) -> None:
         """Create the task.
 
         :param clock: monotonic time in seconds
         :param on_event: counts an event by its name and a label
+        :param delegate: mailbox of the task of partial queries
         """
         self.mailbox = Mailbox()
         self._cfg = cfg
         self._clock = clock
         self._rng = rng
         self._count = on_event
+        self._delegate = delegate
         self._budget_limits = bud.BudgetLimits(
             cfg.limits.retry_ratio, cfg.limits.retry_slack
         )
@@ -120,6 +126,7 @@
         self._searchers: dict[str, Searcher] = {}
         self._by_service: dict[str, list[Searcher]] = {}
         self._nodes: frozenset[str] = frozenset((cfg.node,))
+        self._other_nodes_in: frozenset[str] = frozenset()
         self._loads: dict[str, ld.Load] = {}
         self._cold_until: dict[str, float] = {}
         self._sends: dict[str, RecentSends] = {}
@@ -184,17 +191,40 @@
     def _start_all(self, message: SendShards) -> None:
         now = self._clock()
         orders = message.orders
-        for order in orders:
-            self._add_allowance(order.service)
-        usable = sum(
-            1 for order in orders if self._choose(order, [], now) is not None
-        )
+        chosen = [self._choose(order, [], now) for order in orders]
+        usable = sum(searcher is not None for searcher in chosen)
         if usable < message.least:
             self._count("refused", "too_few")
             message.reply_to(NoneSent(usable))
             return
-        for order in orders:
-            self._start(order)
+        groups = self._groups(orders, chosen, now) if message.top else ()
+        delegated = set()
+        for group in groups:
+            self._delegate(_partial_order(message, group))
+            delegated.update(group.shards)
+        for shard, order in enumerate(orders):
+            if shard not in delegated:
+                self._add_allowance(order.service)
+                self._start(order)
+
+    def _groups(
+        self,
+        orders: tuple[SendAttempt, ...],
+        chosen: list[Searcher | None],
+        now: float,
+    ) -> tuple[Group, ...]:
+        """Return which shards nodes of other data centres gather."""
+        own = self._cfg.data_centre
+        reachable = {
+            shard: {
+                item.data_centre
+                for item in self._by_service.get(orders[shard].service, ())
+                if self._loads.get(item.name, ld.Load()).closed_until <= now
+            }
+            for shard, searcher in enumerate(chosen)
+            if searcher is not None and searcher.data_centre != own
+        }
+        return group_far_shards(reachable, own, self._other_nodes_in)
 
     def _choose(
         self, order: SendAttempt, excluded: list[str], now: float
@@ -472,7 +502,12 @@
         now = self._clock()
         former = self._searchers
         self._searchers = dict(message.searchers)
-        self._nodes = message.nodes | {self._cfg.node}
+        self._nodes = frozenset(message.nodes) | {self._cfg.node}
+        self._other_nodes_in = frozenset(
+            node.data_centre
+            for name, node in message.nodes.items()
+            if name != self._cfg.node
+        )
         for name, searcher in self._searchers.items():
             seen_at = message.seen_at.get(name, now)
             self._note_warmth(former.get(name), searcher, seen_at)
@@ -511,3 +546,20 @@
         self._sends.pop(name, None)
         self._broken_at.pop(name, None)
         self._cold_until.pop(name, None)
+
+
+def _partial_order(message: SendShards, group: Group) -> PartialOrder:
+    first = message.orders[group.shards[0]]
+    return PartialOrder(
+        key=(first.key, group.data_centre),
+        route=first.route,
+        data_centre=group.data_centre,
+        shards=group.shards,
+        services=tuple(
+            message.orders[shard].service for shard in group.shards
+        ),
+        top=message.top,
+        outgoing=first.outgoing,
+        answer_at=message.answer_at,
+        reply_to=message.reply_to,
+    )
