Let a node that knows nothing refuse partial queries and read old state

Its peers no longer relayed (their own state was over 3 s old), so it knew nothing for 4 s; it answered partial queries with no covered shard, and 98 queries of other nodes failed for that. Ruled out: a second hedge by time (the answer came at once). Change: such a node refuses, the shards are asked directly; a started node that reaches no fresh source takes the old state with which others serve.

--- a/packages/kumquatchuted/src/kumquatchuted/front/app.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/app.py
@@ -22,6 +22,7 @@
 from kumquatchuted.platform.callers import CallerRequest
 from kumquatchuted.platform.callers import decode_request
 from kumquatchuted.platform.callers import encode_retry_after
+from kumquatchuted.platform.relay import ANY_AGE
 from kumquatchuted.platform.relay import Relay
 
 log = Logger("front")
@@ -155,7 +156,8 @@
         """Answer a list or a watch."""
         revision = req.get_param_as_int("watch")
         if revision is None:
-            page = self._relay.list_objects(kind)
+            any_age = req.get_param(ANY_AGE) is not None
+            page = self._relay.list_objects(kind, any_age)
         else:
             wait_ms = req.get_param_as_int("waitMs", default=0)
             page = await self._relay.watch(kind, revision, wait_ms / 1000)
@@ -170,7 +172,8 @@
     def __init__(self, gather: Callable) -> None:
         """Create the resource.
 
-        :param gather: from a ``PartialRequest`` to a ``PartialAnswer``
+        :param gather: from a ``PartialRequest`` to a ``PartialAnswer`` or a
+            ``Failure``
         """
         self._gather = gather
 
@@ -184,7 +187,11 @@
                 log.warning("request of a node rejected cause={}", reason)
                 resp.status = ANSWERS[message.kind].http_status
             case PartialRequest():
-                resp.data = encode(await self._gather(message))
+                answer = await self._gather(message)
+                if isinstance(answer, Failure):
+                    resp.status = ANSWERS[answer.kind].http_status
+                else:
+                    resp.data = encode(answer)
 
 
 def peer_app(relay: Relay, gather: Callable) -> Application:
--- a/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
@@ -4,6 +4,8 @@
 from kumquatchuted.gather import decide as dc
 from kumquatchuted.gather.messages import Finish
 from kumquatchuted.gather.messages import NotSent
+from kumquatchuted.gather.messages import PartDone
+from kumquatchuted.gather.messages import PartSent
 from kumquatchuted.gather.messages import SendAll
 from kumquatchuted.gather.messages import SendShard
 from kumquatchuted.gather.messages import ShardDone
@@ -113,6 +115,58 @@
     assert not actions[0].failure.not_run
 
 
+def delegated(*shards: int) -> dc.QueryState:
+    """Return a query of which another node gathers some shards."""
+    plan = dc.Plan(SHARDS, Policy(2, False), ANSWER_AT, GIVE_UP_AT, 0.75)
+    state, _ = dc.decide(dc.start(plan), Started(), 0.0)
+    state, _ = dc.decide(state, PartSent(shards), 0.0)
+    for shard in range(SHARDS):
+        if shard not in shards:
+            sent = ShardSent(shard, f"a{shard}", late_s=0.03)
+            state, _ = dc.decide(state, sent, 0.0)
+    return state
+
+
+def test_answer_of_another_node_covers_its_shards() -> None:
+    """Guards against parts of another node that are lost or asked again."""
+    state = answered(delegated(0, 1, 2), 3)
+    parts = tuple((shard, part(shard)) for shard in (0, 1, 2))
+    _, actions = dc.decide(state, PartDone((0, 1, 2), parts, None), 0.05)
+    expected = tuple(part(n) for n in range(4))
+    assert actions == (Finish((0, 1, 2, 3), expected, 0),)
+
+
+def test_shards_of_a_lost_node_are_asked_directly() -> None:
+    """Guards against a query that fails with the node that was asked."""
+    lost = Lost("refused", sent=False)
+    state, actions = dc.decide(delegated(0, 1), PartDone((0, 1), (), lost), 0)
+    assert actions == (
+        SendShard(0, (), is_repeat=False),
+        SendShard(1, (), is_repeat=False),
+    )
+
+
+def test_node_without_any_answer_does_not_end_the_query() -> None:
+    """Guards against a node that was just started and answers for nothing.
+
+    On day scale-2 98 queries failed, because a node without searchers
+    answered at once that it covers no shard.
+    """
+    state = answered(delegated(0, 1, 2), 3)
+    state, actions = dc.decide(state, PartDone((0, 1, 2), (), None), 0.01)
+    assert [type(item) for item in actions] == [SendShard] * 3
+
+
+def test_answer_of_a_node_replaces_parts_that_came_meanwhile() -> None:
+    """Guards against records of a shard that count twice."""
+    state = answered(delegated(0, 1, 2), 3)
+    again = Reply(200, b"direct", b"", False, False, ())
+    state, _ = dc.decide(state, ShardDone(0, again), 0.04)
+    parts = tuple((shard, part(shard)) for shard in (0, 1, 2))
+    _, actions = dc.decide(state, PartDone((0, 1, 2), parts, None), 0.05)
+    assert again not in actions[0].parts
+
+
 def test_time_limit_ends_the_query() -> None:
     """Guards against a caller that waits for a searcher that is gone."""
     state = answered(started(), 0, 1)
--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -15,6 +15,7 @@
 from kumquatchuted.membership.messages import TopicListed
 from kumquatchuted.membership.reading import Changes
 from kumquatchuted.membership.reading import HistoryGone
+from kumquatchuted.membership.reading import Listing
 from kumquatchuted.membership.reading import ObjectReader
 from kumquatchuted.membership.reading import TopicReader
 from kumquatchuted.membership.sources import Source
@@ -70,6 +71,7 @@
         self._on_failure = on_failure
         self._sleep = sleep
         self._failures = 0
+        self._knows = False
         self._failed_at: dict[Source, float] = {}
         self._source: Source | None = None
         self._restart = asyncio.Event()
@@ -96,11 +98,33 @@
                 failure = listing
                 continue
             self._succeeded(source)
+            self._knows = True
             self._post(TopicListed(self._topic, listing.objects))
             await self._watch(source, listing.revision, source != sources[0])
             return None
+        if not self._knows:
+            await self._read_old(sources)
         return failure
 
+    async def _read_old(self, sources: tuple[Source, ...]) -> None:
+        """Start from what another node still serves with during an outage."""
+        for source in sources:
+            if source.is_store:
+                continue
+            listing = await self._client.list_all(
+                source, self._reader, any_age=True
+            )
+            if isinstance(listing, Listing):
+                log.warning(
+                    "old state read topic={} address={} revision={}",
+                    self._topic.value,
+                    source.address,
+                    listing.revision,
+                )
+                self._knows = True
+                self._post(TopicListed(self._topic, listing.objects))
+                return
+
     def _by_recent_failure(self, sources: tuple[Source, ...]) -> list[Source]:
         now = self._clock()
         return sorted(
--- a/packages/kumquatchuted/src/kumquatchuted/membership/reading.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/reading.py
@@ -50,9 +50,13 @@
     """The calls of the store that followers use."""
 
     async def list_all(
-        self, source: Source, reader: TopicReader
+        self, source: Source, reader: TopicReader, any_age: bool = False
     ) -> Listing | Failure:
-        """Read all objects of a kind."""
+        """Read all objects of a kind.
+
+        :param any_age: whether another node may answer that has lost the
+            store
+        """
 
     async def watch(
         self,
--- a/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
@@ -35,10 +35,14 @@
         self.watches = watches
         self.revisions: list[int] = []
         self.asked: list[Source] = []
+        self.any_age: list[bool] = []
 
-    async def list_all(self, source: Source, reader: TopicReader) -> object:
+    async def list_all(
+        self, source: Source, reader: TopicReader, any_age: bool = False
+    ) -> object:
         """Return the next listing."""
         self.asked.append(source)
+        self.any_age.append(any_age)
         return self.listings.pop(0)
 
     async def watch(
@@ -212,3 +216,28 @@
         assert posted == [TopicListed(Topic.SEARCHERS, ())]
 
     asyncio.run(scenario())
+
+
+def test_started_node_takes_old_state_during_an_outage() -> None:
+    """Guards against a restart in an outage that leaves a node useless.
+
+    On day scale-2 a node that came back while the store was down knew
+    nothing for 4 s, while the others still served.
+    """
+
+    async def scenario() -> None:
+        store = ScriptedStore(
+            [DOWN, DOWN, Listing((), 5), DOWN, DOWN, Listing((), 9)], []
+        )
+        posted, _, task = await follow(store, sources=(STORE, RELAY))
+        task.cancel()
+        assert store.any_age == [False, False, True, False, False, False]
+        assert [type(item) for item in posted] == [
+            TopicListed,
+            StoreLost,
+            StoreLost,
+            StoreRegained,
+            TopicListed,
+        ]
+
+    asyncio.run(scenario())
--- a/packages/kumquatchuted/src/kumquatchuted/partials/codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/codec.py
@@ -22,7 +22,7 @@
     return _decode(_request, data)
 
 
-def decode_answer(data: bytes) -> PartialAnswer | Failure:
+def decode_partial_answer(data: bytes) -> PartialAnswer | Failure:
     """Decode the answer of another node."""
     return _decode(_answer, data)
 
--- a/packages/kumquatchuted/src/kumquatchuted/partials/serving.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/serving.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from kumquatchute_model.errors import Failure
 from kumquatchuted.gather.merge import merge_records
 from kumquatchuted.gather.task import GatherTask
 from kumquatchuted.mailbox import Post
@@ -16,9 +17,12 @@
 
 async def gather_part(
     req: PartialRequest, post: Post, clock: Callable[[], float]
-) -> PartialAnswer:
+) -> PartialAnswer | Failure:
     """Query the shards and answer in time with those that answered.
 
+    A node that can send nothing refuses, so that the other one asks the
+    searchers itself.
+
     :param post: mailbox of the task of searchers
     :param clock: monotonic time in seconds
     """
@@ -41,6 +45,8 @@
         route, shards, outgoing, answer_at, answer_at, post, clock
     )
     finish = await task.run()
+    if finish.failure is not None and finish.failure.not_run:
+        return finish.failure
     return PartialAnswer(
         covered=finish.shards,
         stamps=tuple(part.stamp for part in finish.parts),
--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -7,12 +7,14 @@
 import aiohttp
 from logbook import Logger
 
+from kumquatchute_model.errors import ANSWERS
+from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchuted.gateway.settings import GatewaySettings
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.membership.messages import MembersChanged
 from kumquatchuted.membership.messages import Node
-from kumquatchuted.partials.codec import decode_answer
+from kumquatchuted.partials.codec import decode_partial_answer
 from kumquatchuted.partials.codec import encode
 from kumquatchuted.partials.messages import AbandonPartial
 from kumquatchuted.partials.messages import PartialAnswer
@@ -33,6 +35,7 @@
 # A node that answers this much later than asked is taken for lost.
 PATIENCE_S = 0.04
 CONNECT_TIMEOUT_S = 0.05
+NOT_SENT_STATUS = ANSWERS[ErrorKind.UNAVAILABLE].http_status
 MS_PER_S = 1000
 
 
@@ -155,7 +158,7 @@
             async with self._open().post(
                 url, data=body, timeout=timeout
             ) as response:
-                answer = decode_answer(await response.read())
+                data = await response.read()
                 status = response.status
         except aiohttp.ClientConnectorError as exc:
             return Lost(f"{type(exc).__name__} {exc}", sent=False)
@@ -164,6 +167,9 @@
         except (aiohttp.ClientError, OSError) as exc:
             # TimeoutError is an OSError.
             return Lost(f"{type(exc).__name__} {exc}", sent=True)
+        if status == NOT_SENT_STATUS:
+            return Lost("the node can send to no searcher", sent=False)
+        answer = decode_partial_answer(data)
         if isinstance(answer, Failure):
             return Lost(f"status {status}: {answer.reason}", sent=True)
         return answer
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/tests/test_partials.py
@@ -0,0 +1,79 @@
+"""Parts of a query that other nodes gather."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kumquatchute_model.errors import Failure
+from kumquatchuted.membership.messages import Node
+from kumquatchuted.partials.codec import decode_partial
+from kumquatchuted.partials.codec import decode_partial_answer
+from kumquatchuted.partials.codec import encode
+from kumquatchuted.partials.grouping import Group
+from kumquatchuted.partials.grouping import group_far_shards
+from kumquatchuted.partials.messages import PartialAnswer
+from kumquatchuted.partials.nodes import choose_node
+from kumquatchuted.partials.nodes import FIRST_PAUSE_S
+from kumquatchuted.partials.nodes import NodeState
+from kumquatchuted.partials.nodes import record_failure
+
+A1 = Node("a1", "10.0.0.1:80", "a")
+A2 = Node("a2", "10.0.0.2:80", "a")
+B1 = Node("b1", "10.0.1.1:80", "b")
+
+
+def test_far_shards_go_to_the_data_centre_that_serves_most() -> None:
+    """Guards against an answer of each shard that crosses the network."""
+    reachable = {n: {"a", "b"} if n % 2 else {"a"} for n in range(8)}
+    assert group_far_shards(reachable, "c", {"a", "b"}) == (
+        Group("a", tuple(range(8))),
+    )
+
+
+def test_shards_that_are_near_stay_here() -> None:
+    """Guards against a second hop without a gain."""
+    reachable = {n: {"a", "c"} for n in range(8)}
+    assert group_far_shards(reachable, "c", {"a"}) == ()
+
+
+def test_few_shards_and_data_centres_without_nodes_are_asked_directly() -> (
+    None
+):
+    """Guards against orders that nobody can carry out."""
+    assert group_far_shards({0: {"a"}, 1: {"a"}}, "c", {"a"}) == ()
+    assert group_far_shards({n: {"a"} for n in range(9)}, "c", {"b"}) == ()
+    assert group_far_shards({n: set() for n in range(9)}, "c", {"a"}) == ()
+
+
+def test_each_shard_is_in_one_group_at_most() -> None:
+    """Guards against a shard whose records are merged twice."""
+    reachable = {n: {"a"} if n < 5 else {"a", "b"} for n in range(10)}
+    reachable |= {n: {"b"} for n in range(10, 16)}
+    groups = group_far_shards(reachable, "c", {"a", "b"})
+    shards = [shard for group in groups for shard in group.shards]
+    assert sorted(shards) == list(range(16))
+    assert len(groups) == 2
+
+
+def test_node_with_the_least_work_is_chosen_and_a_lost_one_is_not() -> None:
+    """Guards against a node that is down and gets every order."""
+    busy = NodeState(pending=2)
+    nodes = [(A1, busy), (A2, NodeState()), (B1, NodeState())]
+    assert choose_node(nodes, "a", 10.0, lambda: 0.5) == A2
+    lost = record_failure(NodeState(), 10.0)
+    nodes = [(A1, busy), (A2, lost)]
+    assert choose_node(nodes, "a", 10.1, lambda: 0.5) == A1
+    assert choose_node(nodes, "a", 10.0 + FIRST_PAUSE_S, lambda: 0.5) == A2
+    assert choose_node([(A2, lost)], "a", 10.1, lambda: 0.5) is None
+
+
+def test_message_survives_encoding() -> None:
+    """Guards against digests that change on the way between nodes."""
+    answer = PartialAnswer((0, 3), (b"s1", b"\xff"), b"records")
+    assert decode_partial_answer(encode(answer)) == answer
+
+
+@given(st.binary(max_size=200))
+def test_bytes_of_another_node_never_raise(data: bytes) -> None:
+    """Guards against a message that ends the process."""
+    assert isinstance(decode_partial_answer(data), PartialAnswer | Failure)
+    decode_partial(data)
--- a/packages/kumquatchuted/src/kumquatchuted/platform/objects.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/objects.py
@@ -17,6 +17,7 @@
 from kumquatchuted.membership.sources import Source
 from kumquatchuted.platform.decoding import encode_node
 from kumquatchuted.platform.decoding import NODE_KIND
+from kumquatchuted.platform.relay import ANY_AGE
 from kumquatchuted.platform.relay import Relay
 from kumquatchuted.platform.sockets import keep_alive_socket
 
@@ -46,10 +47,12 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def list_all(
-        self, source: Source, reader: TopicReader
+        self, source: Source, reader: TopicReader, any_age: bool = False
     ) -> Listing | Failure:
         """Read all pages of a kind.
 
+        :param any_age: whether another node may answer that has lost the
+            store
         :returns: the objects and the revision of the first page, from which
             a watch misses nothing that changed while pages were read
         """
@@ -58,6 +61,8 @@
         after = None
         for _ in range(MAX_PAGES):
             query = {} if after is None else {"after": after}
+            if any_age:
+                query[ANY_AGE] = "1"
             page = await self._get(source, reader.kind, query, CALL_TIMEOUT_S)
             if isinstance(page, Failure):
                 return page
--- a/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
@@ -16,6 +16,8 @@
 # Its shortest watch of the store ends every 2 s.
 FRESH_S = 3.0
 MAX_WAIT_S = 30.0
+# Query parameter of a list that may be old.
+ANY_AGE = "anyAge"
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,9 +105,13 @@
                 known.items[name] = item
         known.record(list(changes), revision)
 
-    def list_objects(self, kind: str) -> Page:
-        """Answer a list."""
-        known = self._fresh(kind)
+    def list_objects(self, kind: str, any_age: bool = False) -> Page:
+        """Answer a list.
+
+        :param any_age: whether the store may be lost: during an outage a node
+            that was just started has nothing better
+        """
+        known = self._kinds.get(kind) if any_age else self._fresh(kind)
         if known is None:
             return Page(503)
         return Page(
--- a/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_relay.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_relay.py
@@ -86,6 +86,14 @@
     assert asyncio.run(relay.watch("servers", 5, 0.0)).status == 503
 
 
+def test_relay_that_lost_the_store_gives_old_state_when_asked() -> None:
+    """Guards against a started node that learns nothing in an outage."""
+    relay, clock = filled()
+    clock.now += 60
+    assert relay.list_objects("servers", any_age=True).status == 200
+    assert relay.list_objects("other", any_age=True).status == 503
+
+
 def test_waiting_watch_ends_with_a_change() -> None:
     """Guards against a change that waits for the end of a watch."""
 
