Emulate the users' platform and test real nodes against it

Ruled out: the stand-ins of the product's own interface, whose store and searchers speak another form and stay for its tests.

--- /dev/null
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/searcher.py
@@ -0,0 +1,182 @@
+"""Searcher stand-in: speaks the searchers' protocol and can be disturbed.
+
+It listens on a plain socket, because it must also send what no HTTP server
+would send: second answers, cut answers, silence.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+RECORD_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class SearcherFaults:
+    """What is wrong with a searcher.
+
+    :param delay_s: time of a request beyond the usual one
+    :param second_answer: a late second answer follows each one
+    :param cut_answer: answers break off in their body
+    :param silent: requests are read and never answered
+    :param shed: requests are refused as not executed
+    :param fail: requests run and are answered with 500
+    """
+
+    delay_s: float = 0.0
+    second_answer: bool = False
+    cut_answer: bool = False
+    silent: bool = False
+    shed: bool = False
+    fail: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request as the searcher saw it.
+
+    :param at: time of the event loop, in seconds
+    """
+
+    searcher: str
+    service: str
+    request_id: str
+    target: str
+    at: float
+
+
+class SearcherStandIn:
+    """Owns the listener of one searcher."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        data_centre: str,
+        port: int,
+        record: Callable[[Arrival], None],
+    ) -> None:
+        """Create a searcher.
+
+        :param record: receives each request that runs
+        """
+        self.name = name
+        self.service = service
+        self.data_centre = data_centre
+        self.port = port
+        self.faults = SearcherFaults()
+        self.work_s = 0.003
+        self.started = 1_700_000_000_000
+        self._record = record
+        self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
+
+    def entry(self, state: str = "ready", cold_ms: int = 0) -> dict:
+        """Return what the searcher registers of itself."""
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.data_centre,
+            "version": "v1",
+            "capacity": 2,
+            "state": state,
+            "warmupLeftMs": cold_ms,
+            "seq": 1,
+            "born": self.started,
+        }
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port
+        )
+
+    async def stop(self) -> None:
+        """Crash: reset all connections and stop listening."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._open):
+            writer.transport.abort()
+        self._open.clear()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._open.add(writer)
+        try:
+            while await self._exchange(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError):
+            # The other end is gone.
+            pass
+        finally:
+            self._open.discard(writer)
+            writer.close()
+
+    async def _exchange(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        headers = {}
+        for line in lines[1:]:
+            key, _, value = line.partition(":")
+            headers[key.lower()] = value.strip()
+        await reader.readexactly(int(headers.get("content-length", "0")))
+        expected = headers.get("x-expect-instance", self.name)
+        request_id = headers.get("x-request-id", "")
+        if expected != self.name:
+            await _send(writer, 421, {"X-Instance-Id": self.name}, b"")
+            return True
+        if self.faults.shed:
+            await _send(writer, 503, {"X-Not-Executed": "1"}, b"")
+            return True
+        now = asyncio.get_running_loop().time()
+        target = lines[0].split(" ")[1]
+        self._record(Arrival(self.name, self.service, request_id, target, now))
+        await asyncio.sleep(self.work_s + self.faults.delay_s)
+        if self.faults.silent:
+            await asyncio.Event().wait()
+        status = 500 if self.faults.fail else 200
+        extra = {
+            "X-Request-Id": request_id,
+            "X-Server-Stamp": stamp(self.service, request_id),
+            "X-Server-Load": "1,0,2",
+        }
+        body = records(self.service, request_id)
+        if self.faults.cut_answer:
+            await _send(writer, status, extra, body, cut=True)
+            return False
+        await _send(writer, status, extra, body)
+        if self.faults.second_answer:
+            await asyncio.sleep(0.002)
+            await _send(writer, status, extra, body)
+        return True
+
+
+def stamp(service: str, request_id: str) -> str:
+    """Return the digest of the answer of a service to a request."""
+    return f"{service}.{request_id}"
+
+
+def records(service: str, request_id: str) -> bytes:
+    """Return the records of a service, the same for each request."""
+    number = int.from_bytes(service.encode()[-4:], "big")
+    return b"".join(
+        ((number * 7919 + step * 104729) % 2**32).to_bytes(RECORD_BYTES, "big")
+        for step in range(8)
+    )
+
+
+async def _send(
+    writer: asyncio.StreamWriter,
+    status: int,
+    headers: dict[str, str],
+    body: bytes,
+    cut: bool = False,
+) -> None:
+    lines = [f"HTTP/1.1 {status} Text", f"Content-Length: {len(body)}"]
+    lines += [f"{key}: {value}" for key, value in headers.items()]
+    sent = body[: len(body) // 2] if cut else body
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + sent)
+    await writer.drain()
--- /dev/null
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/site.py
@@ -0,0 +1,269 @@
+"""A site of nodes, searchers and a store on loopback addresses."""
+
+import asyncio
+from dataclasses import dataclass
+import os
+from pathlib import Path
+import signal
+import sys
+
+import aiohttp
+
+from kumquatchute_standins.fleet.searcher import Arrival
+from kumquatchute_standins.fleet.searcher import SearcherStandIn
+from kumquatchute_standins.fleet.store import StoreStandIn
+from kumquatchute_standins.ports import free_ports
+
+HOST = "search.example"
+READY_TIMEOUT_S = 25.0
+PORTS_PER_NODE = 4
+TOP = 5
+
+SETTINGS = """\
+node = "{name}"
+ip = "127.0.0.1"
+zone = "{data_centre}"
+internalPorts = [{metrics}, {metrics}]
+seeds = [{seeds}]
+[listenAddrs]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+[bounds]
+drainMs = 3000
+graceS = 6
+configApplyMs = 3000
+retryBudgetRatio = 0.2
+retrySlack = 58
+budgetWindowS = 10
+warmupFactor = 1.5
+warmupSlack = 5
+[platform]
+address = "{store}"
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """What a site consists of.
+
+    :param nodes: data centre of each node
+    :param shards: number of shards
+    :param replicas: data centre of each searcher of a shard
+    :param singles: data centre of each searcher of the single service
+    """
+
+    nodes: tuple[str, ...] = ("a", "b")
+    shards: int = 4
+    replicas: tuple[str, ...] = ("a", "b")
+    singles: tuple[str, ...] = ("a", "b")
+
+
+@dataclass(frozen=True, slots=True)
+class NodePlace:
+    """Where a node serves and its settings file."""
+
+    name: str
+    front: int
+    ready: int
+    metrics: int
+    settings: Path
+
+
+class FleetSite:
+    """Owns the stand-ins and the processes of the nodes."""
+
+    def __init__(self, shape: Shape, folder: Path) -> None:
+        """Create a site; nothing runs yet.
+
+        :param folder: receives settings and logs
+        """
+        self.shape = shape
+        self.folder = folder
+        self.arrivals: list[Arrival] = []
+        self.version = 1
+        self.shard_names = tuple(f"sh{n:02d}" for n in range(shape.shards))
+        count = len(shape.nodes) * PORTS_PER_NODE + 1
+        count += shape.shards * len(shape.replicas) + len(shape.singles)
+        ports = iter(free_ports(count))
+        self.store = StoreStandIn(f"127.0.0.1:{next(ports)}")
+        self.searchers = self._make_searchers(ports)
+        self.nodes = self._make_nodes(ports)
+        self._running: dict[str, asyncio.subprocess.Process] = {}
+
+    async def __aenter__(self) -> "FleetSite":
+        """Start everything and wait until all nodes are ready."""
+        await self.store.start()
+        for searcher in self.searchers:
+            await searcher.start()
+            self.store.put("servers", searcher.name, searcher.entry())
+        self.publish()
+        for node in self.nodes:
+            await self.start_node(node)
+        for node in self.nodes:
+            await self.wait_ready(node)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Stop everything that this site started."""
+        for process in self._running.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        for searcher in self.searchers:
+            await searcher.stop()
+        await self.store.stop()
+
+    def publish(self, shards: tuple[str, ...] | None = None) -> None:
+        """Write the next version of the manifest."""
+        self.version += 2
+        spec = manifest(self.version, shards or self.shard_names)
+        self.store.put("config", "main", spec)
+
+    async def start_node(self, node: NodePlace) -> None:
+        """Start the process of a node."""
+        with (self.folder / f"{node.name}.log").open("ab") as output:
+            self._running[node.name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "kumquatchuted.gateway",
+                stdout=output,
+                stderr=output,
+                env={
+                    **os.environ,
+                    "KUMQUATCHUTE_SETTINGS": str(node.settings),
+                },
+            )
+
+    def signal(self, node: NodePlace, number: signal.Signals) -> None:
+        """Send a signal to the process of a node."""
+        self._running[node.name].send_signal(number)
+
+    async def wait_ended(self, node: NodePlace) -> int:
+        """Wait for the end of a node and return its exit status."""
+        return await self._running[node.name].wait()
+
+    async def wait_ready(self, node: NodePlace) -> None:
+        """Wait until a node welcomes callers.
+
+        :raises TimeoutError: it is not ready in time
+        """
+        url = f"http://127.0.0.1:{node.ready}/readiness"
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            async with aiohttp.ClientSession() as session:
+                while not await _is_ok(session, url):
+                    await asyncio.sleep(0.05)
+
+    def searchers_of(self, service: str) -> list[SearcherStandIn]:
+        """Return the searchers of a service."""
+        return [item for item in self.searchers if item.service == service]
+
+    def arrivals_at(self, searcher: str, after: float) -> list[Arrival]:
+        """Return the requests that reached a searcher after a time."""
+        return [
+            item
+            for item in self.arrivals
+            if item.searcher == searcher and item.at > after
+        ]
+
+    def _make_searchers(self, ports: object) -> list[SearcherStandIn]:
+        places = [
+            (service, data_centre)
+            for service in self.shard_names
+            for data_centre in self.shape.replicas
+        ]
+        places += [
+            ("single", data_centre) for data_centre in self.shape.singles
+        ]
+        return [
+            SearcherStandIn(
+                f"i-{number:04d}",
+                service,
+                data_centre,
+                next(ports),
+                self.arrivals.append,
+            )
+            for number, (service, data_centre) in enumerate(places)
+        ]
+
+    def _make_nodes(self, ports: object) -> list[NodePlace]:
+        places = [
+            (f"n{number}", data_centre, [next(ports) for _ in range(4)])
+            for number, data_centre in enumerate(self.shape.nodes)
+        ]
+        seeds = ", ".join(f'"127.0.0.1:{at[2]}"' for _, _, at in places[:3])
+        nodes = []
+        for name, data_centre, (front, ready, control, metrics) in places:
+            settings = self.folder / f"{name}.toml"
+            settings.write_text(
+                SETTINGS.format(
+                    name=name,
+                    data_centre=data_centre,
+                    front=front,
+                    ready=ready,
+                    control=control,
+                    metrics=metrics,
+                    seeds=seeds,
+                    store=self.store.address,
+                ),
+                encoding="utf-8",
+            )
+            nodes.append(NodePlace(name, front, ready, metrics, settings))
+        return nodes
+
+
+def manifest(version: int, shards: tuple[str, ...]) -> dict:
+    """Return a manifest with a query over shards and two single routes."""
+    common = {
+        "host": HOST,
+        "timeoutMs": 2000,
+        "targetLatencyMs": 300,
+        "priority": 1,
+        "maxAttempts": 2,
+    }
+    return {
+        "version": version,
+        "routes": [
+            {
+                **common,
+                "name": "notes",
+                "pathPrefix": "/notes/",
+                "routeType": "idempotent",
+                "gather": list(shards),
+                "topK": TOP,
+                "minCoverage": 0.5,
+            },
+            {
+                **common,
+                "name": "fetch",
+                "pathPrefix": "/fetch/",
+                "routeType": "idempotent",
+                "service": "single",
+            },
+            {
+                **common,
+                "name": "submit",
+                "pathPrefix": "/submit/",
+                "routeType": "non_idempotent",
+                "service": "single",
+            },
+        ],
+        "services": [
+            {"name": name, "maxConns": 26, "warmupS": 3.0, "coldPerS": 0.0}
+            for name in (*shards, "single")
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 262144,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+
+
+async def _is_ok(session: aiohttp.ClientSession, url: str) -> bool:
+    try:
+        async with session.get(url) as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
