Split the task of searchers by duty

Cause: searchers/task.py had 565 lines: members, warmth, loads, connections, allowances and attempts. Ruled out: a task for each (every choice needs all of them at once).

--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/allowances.py
@@ -0,0 +1,40 @@
+"""The allowances of all services, as the task of searchers owns them."""
+
+from kumquatchuted.retries import budget as bud
+
+
+class Allowances:
+    """Owns the budget of each service."""
+
+    def __init__(self, limits: bud.BudgetLimits) -> None:
+        """Create full budgets for one node."""
+        self._limits = limits
+        self._nodes = 1
+        self._budgets: dict[str, bud.Budget] = {}
+
+    def set_nodes(self, count: int) -> None:
+        """Set the number of nodes that share the limit of the fleet."""
+        self._nodes = count
+
+    def has_any(self, service: str) -> bool:
+        """Return whether one more repeated send is allowed."""
+        return bud.take(self._budget(service)) is not None
+
+    def take(self, service: str) -> None:
+        """Count a repeated send that was allowed."""
+        budget = bud.take(self._budget(service))
+        if budget is not None:
+            self._budgets[service] = budget
+
+    def add(self, service: str) -> None:
+        """Add the share of one request."""
+        self._budgets[service] = bud.record_request(
+            self._budget(service), self._limits, self._nodes
+        )
+
+    def _budget(self, service: str) -> bud.Budget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = bud.start_budget(self._limits, self._nodes)
+            self._budgets[service] = budget
+        return budget
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
@@ -0,0 +1,94 @@
+"""The connections to searchers, as the task of searchers owns them."""
+
+import asyncio
+from collections.abc import Callable
+
+from kumquatchuted.membership.messages import Searcher
+from kumquatchuted.searchers.connection import Connection
+from kumquatchuted.searchers.dialling import dial
+
+# Idle connections are used for this long if the searcher states no limit.
+DEFAULT_IDLE_S = 4.0
+# A connection is not used in the last part of the stated limit, because the
+# searcher may close it while the request is on its way.
+IDLE_RESERVE_S = 0.8
+# A request that may run only once uses a connection only this shortly after
+# its last answer: if the connection is closed on the way, nobody knows
+# whether the request ran.
+ONCE_IDLE_S = 0.5
+
+
+class Pool:
+    """Owns connections that are open, being opened or idle."""
+
+    def __init__(self, id_header: bytes, post: Callable) -> None:
+        """Create an empty pool.
+
+        :param id_header: header that echoes the id of a request, lower case
+        :param post: receives what happens on the connections
+        """
+        self._id_header = id_header
+        self._post = post
+        self._all: dict[str, list[Connection]] = {}
+        self._idle: dict[str, list[Connection]] = {}
+        self._dials: set[asyncio.Task] = set()
+
+    def take_idle(
+        self, searcher: str, runs_once: bool, now: float
+    ) -> Connection | None:
+        """Return the idle connection that was used last, or None.
+
+        :param runs_once: whether the request must not run twice
+        """
+        idle = self._idle.get(searcher, [])
+        while idle:
+            connection = idle.pop()
+            if _is_fresh(connection, runs_once, now):
+                return connection
+            connection.close()
+        return None
+
+    def open(self, searcher: Searcher, most: int) -> Connection | None:
+        """Begin to open a connection, unless there are too many.
+
+        :param most: connections to the searcher that this node may hold
+        """
+        present = self._all.setdefault(searcher.name, [])
+        if len(present) >= most:
+            return None
+        connection = Connection(searcher.name, self._id_header, self._post)
+        present.append(connection)
+        dialled = asyncio.ensure_future(
+            dial(searcher.host, searcher.port, connection, self._post)
+        )
+        self._dials.add(dialled)
+        dialled.add_done_callback(self._dials.discard)
+        return connection
+
+    def add_idle(self, connection: Connection, now: float) -> None:
+        """Keep a connection for the next request."""
+        connection.idle_since = now
+        self._idle.setdefault(connection.searcher, []).append(connection)
+
+    def remove(self, connection: Connection) -> None:
+        """Forget a connection that has ended."""
+        for group in (self._all, self._idle):
+            if connection in group.get(connection.searcher, ()):
+                group[connection.searcher].remove(connection)
+
+    def close_idle(self, searcher: str) -> None:
+        """Close the idle connections to a process that is gone."""
+        for connection in self._idle.pop(searcher, []):
+            connection.close()
+
+
+def _is_fresh(connection: Connection, runs_once: bool, now: float) -> bool:
+    if not connection.is_open():
+        return False
+    if connection.idle_limit_s is None:
+        limit = DEFAULT_IDLE_S
+    else:
+        limit = connection.idle_limit_s - IDLE_RESERVE_S
+    if runs_once:
+        limit = min(limit, ONCE_IDLE_S)
+    return now - connection.idle_since < limit
