Explain a request from the logs and show the platform in the demo

Cause: nothing led from the id of a failed request to its cause, and the demo showed the product's own interface alone. Ruled out: a line for each sub-query (20 lines a query).

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	$(BIN)/python -m kumquatchute_bench.fault_matrix $(MATRIX_OPTIONS)
 
 demo: install
+	$(BIN)/python -m kumquatchute_standins.fleet
 	$(BIN)/python -m kumquatchute_standins.demo
 
 bench: install
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/searcher.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/searcher.py
@@ -136,7 +136,8 @@
         self._record(Arrival(self.name, self.service, request_id, target, now))
         await asyncio.sleep(self.work_s + self.faults.delay_s)
         if self.faults.silent:
-            await asyncio.Event().wait()
+            await reader.read()
+            return False
         status = 500 if self.faults.fail else 200
         extra = {
             "X-Request-Id": request_id,
--- a/packages/kumquatchute/src/kumquatchute/app.py
+++ b/packages/kumquatchute/src/kumquatchute/app.py
@@ -7,6 +7,7 @@
 
 from kumquatchute.commands import CheckSettings
 from kumquatchute.commands import Command
+from kumquatchute.commands import ExplainRequest
 from kumquatchute.commands import SearchName
 from kumquatchute.commands import SetState
 from kumquatchute.commands import ShowLog
@@ -146,3 +147,22 @@
 ) -> Command:
     """Check the settings in FILE and list all faults. Needs no node."""
     return CheckSettings(str(file))
+
+
+@local_command(app, "explain")
+def explain_request(
+    request_id: Annotated[
+        str,
+        typer.Argument(metavar="REQUEST-ID", help="As the caller sent it."),
+    ],
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(
+            metavar="[FILE]...",
+            help="Logs of the nodes. Default: standard input.",
+            show_default=False,
+        ),
+    ] = None,
+) -> Command:
+    """Show the way of a request through all nodes and the cause of its end."""
+    return ExplainRequest(request_id, tuple(str(path) for path in files or ()))
--- a/packages/kumquatchute/src/kumquatchute/commands.py
+++ b/packages/kumquatchute/src/kumquatchute/commands.py
@@ -59,6 +59,17 @@
     path: str
 
 
+@dataclass(frozen=True)
+class ExplainRequest:
+    """Explain a request from logs.
+
+    :param paths: log files; standard input if there are none
+    """
+
+    request_id: str
+    paths: tuple[str, ...]
+
+
 Command = (
     SubmitFile
     | SetState
@@ -67,4 +78,5 @@
     | ShowStatus
     | SearchName
     | CheckSettings
+    | ExplainRequest
 )
--- a/packages/kumquatchute/src/kumquatchute/core.py
+++ b/packages/kumquatchute/src/kumquatchute/core.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections.abc import Mapping
 from collections.abc import Sequence
+from pathlib import Path
 import sys
 
 from kumquatchute.app import app
 from kumquatchute.client import Client
 from kumquatchute.commands import CheckSettings
 from kumquatchute.commands import Command
+from kumquatchute.commands import ExplainRequest
 from kumquatchute.commands import SearchName
 from kumquatchute.commands import SetState
 from kumquatchute.commands import ShowLog
@@ -17,10 +19,12 @@
 from kumquatchute.commands import SubmitFile
 from kumquatchute.connection import Connection
 from kumquatchute.connection import make_connection
+from kumquatchute.explain import explain
 from kumquatchute.invocation import Invocation
 from kumquatchute.output import render
 from kumquatchute.output import status_of
 from kumquatchute.results import Listed
+from kumquatchute.results import LogUnreadable
 from kumquatchute.results import Result
 from kumquatchute.results import SettingsChecked
 from kumquatchute.results import Statuses
@@ -66,6 +70,8 @@
     match invocation.command:
         case CheckSettings(path=path):
             return SettingsChecked(path, check_settings_file(path))
+        case ExplainRequest(request_id=request_id, paths=paths):
+            return _explain(request_id, paths)
         case command:
             connection = make_connection(
                 invocation.nodes, invocation.token_file, env
@@ -75,6 +81,20 @@
             return asyncio.run(_ask(command, connection))
 
 
+def _explain(request_id: str, paths: tuple[str, ...]) -> Result:
+    if not paths:
+        return explain(request_id, sys.stdin)
+    lines: list[str] = []
+    for path in paths:
+        try:
+            text = Path(path).read_text(encoding="utf-8", errors="replace")
+        except OSError as exc:
+            return LogUnreadable(path, exc.strerror or type(exc).__name__)
+        name = Path(path).stem
+        lines += [f"{name} {line}" for line in text.splitlines()]
+    return explain(request_id, lines)
+
+
 async def _ask(command: Command, connection: Connection) -> Result:
     async with Client(connection) as client:
         match command:
--- /dev/null
+++ b/packages/kumquatchute/src/kumquatchute/explain.py
@@ -0,0 +1,101 @@
+"""Explains a request from the logs of the nodes, by its id."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+import re
+
+# A line of a node: time, level, part and fields. Logs that were collected
+# from several hosts can have more in front of it.
+LINE = re.compile(
+    r"(?P<at>\d{4}-\d\d-\d\dT[\d:.]+\+00:00) (?P<level>[A-Z]+) "
+    r"(?P<part>[a-z-]+): (?P<text>.*)"
+)
+END_PART = "request"
+
+# What an outcome of the last line of a request means, in one sentence.
+CAUSES = {
+    "unavailable": "it was refused before it ran: {detail}",
+    "overloaded": "it was refused before it ran: {detail}",
+    "stopping": "the node was stopping",
+    "target_failed": "searchers failed and no other could take it: {detail}",
+    "deadline_exceeded": "its time was over before an answer: {detail}",
+    "not_found": "no route of the manifest matched it",
+    "too_large": "its body was larger than the manifest allows",
+    "internal": "the node failed; see the error beside it",
+}
+
+
+@dataclass(frozen=True)
+class LogLine:
+    """A line of a log that names the request.
+
+    :param source: what precedes the line, such as the name of the node
+    """
+
+    at: str
+    source: str
+    level: str
+    part: str
+    text: str
+
+
+@dataclass(frozen=True)
+class Explained:
+    """The way of a request and its cause.
+
+    :param lines: in the order of their times
+    :param cause: one sentence
+    """
+
+    request_id: str
+    lines: tuple[LogLine, ...]
+    cause: str
+
+
+def explain(request_id: str, logs: Iterable[str]) -> Explained:
+    """Find the lines of a request and say what came of it.
+
+    :param logs: lines of all nodes, in any order
+    """
+    named = re.compile(rf"\b(?:id|request)={re.escape(request_id)}(?!\S)")
+    found = []
+    for line in logs:
+        match = LINE.search(line)
+        if match is None or named.search(match["text"]) is None:
+            continue
+        source = line[: match.start()].strip()
+        found.append(
+            LogLine(
+                match["at"],
+                source,
+                match["level"],
+                match["part"],
+                match["text"],
+            )
+        )
+    found.sort(key=lambda item: item.at)
+    return Explained(request_id, tuple(found), _cause(found))
+
+
+def _cause(lines: list[LogLine]) -> str:
+    ends = [line.text for line in lines if line.part == END_PART]
+    if not lines:
+        return "no line names this request; see the counts of dropped lines"
+    if not ends:
+        return (
+            "no node wrote its end: the node died, the caller left, or the"
+            " line was dropped"
+        )
+    outcome = _field(ends[-1], "outcome")
+    detail = ends[-1].partition(" ms=")[2].partition(" ")[2]
+    if outcome in CAUSES:
+        return CAUSES[outcome].format(detail=detail)
+    if detail.startswith("missing=") and detail != "missing=0":
+        count = detail.removeprefix("missing=")
+        return f"it was answered without {count} shards that were late or lost"
+    return f"it was answered with status {outcome} ({detail})"
+
+
+def _field(text: str, name: str) -> str:
+    match = re.search(rf"\b{name}=(\S+)", text)
+    return match[1] if match else ""
--- a/packages/kumquatchute/src/kumquatchute/output.py
+++ b/packages/kumquatchute/src/kumquatchute/output.py
@@ -6,8 +6,10 @@
 
 import msgspec
 
+from kumquatchute.explain import Explained
 from kumquatchute.results import Accepted
 from kumquatchute.results import Listed
+from kumquatchute.results import LogUnreadable
 from kumquatchute.results import Result
 from kumquatchute.results import SettingsChecked
 from kumquatchute.results import Shown
@@ -66,6 +68,10 @@
             return ANSWERS[kind].exit_status
         case SettingsChecked(faults=faults) if faults:
             return ExitStatus.USAGE
+        case LogUnreadable():
+            return ExitStatus.USAGE
+        case Explained(lines=()):
+            return ExitStatus.REFUSED
         case Statuses(nodes=nodes):
             faults = (n.status for n in nodes if isinstance(n.status, Failure))
             return max(map(status_of, faults), default=ExitStatus.SUCCESS)
@@ -92,7 +98,7 @@
             return {"url": url, "status": status}
         case SearchAnswer():
             return msgspec.Raw(encode_search_answer(result))
-        case SettingsChecked():
+        case SettingsChecked() | Explained() | LogUnreadable():
             return result
 
 
@@ -115,12 +121,24 @@
             return [line for node in nodes for line in _status_lines(node)]
         case SearchAnswer():
             return _answer_lines(result)
+        case Explained():
+            return _explained_lines(result)
+        case LogUnreadable(path=path, reason=reason):
+            return [f"{path}: {reason}"]
         case SettingsChecked(path=path, faults=()):
             return [f"{path}: no faults"]
         case SettingsChecked(faults=faults):
             return list(faults)
 
 
+def _explained_lines(result: Explained) -> list[str]:
+    lines = [
+        " ".join(filter(None, (line.at, line.source, line.part, line.text)))
+        for line in result.lines
+    ]
+    return [*lines, f"request {result.request_id}: {result.cause}"]
+
+
 def _accepted_lines(result: Accepted) -> list[str]:
     found = "the answer was lost, but the log shows: " * result.recovered
     return [
--- a/packages/kumquatchute/src/kumquatchute/results.py
+++ b/packages/kumquatchute/src/kumquatchute/results.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from kumquatchute.explain import Explained
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.query import SearchAnswer
 from kumquatchute_model.status import NodeStatus
@@ -62,6 +63,14 @@
     faults: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class LogUnreadable:
+    """A log file cannot be read."""
+
+    path: str
+    reason: str
+
+
 Result = (
     Accepted
     | Shown
@@ -69,5 +78,7 @@
     | Statuses
     | SearchAnswer
     | SettingsChecked
+    | Explained
+    | LogUnreadable
     | Failure
 )
--- /dev/null
+++ b/packages/kumquatchute/src/kumquatchute/tests/test_explain.py
@@ -0,0 +1,47 @@
+"""Guards against failed requests whose cause nobody can find."""
+
+from kumquatchute.core import main
+from kumquatchute.explain import explain
+from kumquatchute_model.errors import ExitStatus
+
+LOGS = """\
+2026-05-30T14:07:44.423+00:00 INFO request: id=r1 route=notes manifest=7 \
+attempts=21 outcome=target_failed ms=38 3 of 20 shards have no answer
+2026-05-30T14:07:44.400+00:00 INFO searchers: attempt lost searcher=i-7 \
+sent=True cause=ConnectionResetError request=r1
+2026-05-30T14:07:44.401+00:00 INFO searchers: attempt lost searcher=i-8 \
+sent=True cause=ConnectionResetError request=r12
+2026-05-30T14:07:45.000+00:00 INFO request: id=r2 route=notes manifest=7 \
+attempts=21 outcome=200 ms=140 missing=1
+not a line of a node
+"""
+
+
+def test_lines_of_a_request_come_in_order_with_its_cause():
+    found = explain("r1", LOGS.splitlines())
+    assert [line.part for line in found.lines] == ["searchers", "request"]
+    assert found.cause == (
+        "searchers failed and no other could take it:"
+        " 3 of 20 shards have no answer"
+    )
+
+
+def test_answer_with_missing_shards_says_so():
+    cause = explain("r2", LOGS.splitlines()).cause
+    assert cause == "it was answered without 1 shards that were late or lost"
+
+
+def test_request_whose_end_is_missing_is_not_called_answered():
+    lines = [line for line in LOGS.splitlines() if "id=r1" not in line]
+    assert explain("r1", lines).cause.startswith("no node wrote its end")
+
+
+def test_request_without_a_line_ends_with_a_status(tmp_path, capsys):
+    log = tmp_path / "n0.log"
+    log.write_text(LOGS)
+    assert main(["explain", "r2", str(log)], {}) is ExitStatus.SUCCESS
+    printed = capsys.readouterr().out
+    assert "n0 request id=r2" in printed
+    assert main(["explain", "r9", str(log)], {}) is ExitStatus.REFUSED
+    missing = str(tmp_path / "none.log")
+    assert main(["explain", "r2", missing], {}) is ExitStatus.USAGE
--- a/packages/kumquatchuted/src/kumquatchuted/forward/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/task.py
@@ -135,6 +135,7 @@
                 deadline=self._give_up_at,
                 exclude=self._progress.tried,
                 runs_once=self._policy.runs_once,
+                is_part=False,
                 is_repeat=is_repeat,
                 reply_to=self.mailbox.post,
             )
--- a/packages/kumquatchuted/src/kumquatchuted/front/listener.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/listener.py
@@ -15,12 +15,43 @@
 from kumquatchuted.http.disconnect import Application
 from kumquatchuted.http.server import bind
 from kumquatchuted.http.server import BoundedHttpProtocol
+from kumquatchuted.http.server import HeadBounds
 
 # An idle connection outlives the time that callers are told, so that none
 # is closed while a request is on its way.
 IDLE_FACTOR = 1.2
 
 
+class CallerProtocol(BoundedHttpProtocol):
+    """HTTP protocol with the bounds of the manifest in force."""
+
+    def __init__(
+        self, state: Callable[[], FrontState], **options: object
+    ) -> None:
+        """Create the protocol of one connection.
+
+        :param state: returns the limits in force
+        :param options: of uvicorn's protocol
+        """
+        super().__init__(**options)
+        self._state = state
+        self.timeout_keep_alive = self.bounds().idle_s
+
+    def bounds(self) -> HeadBounds:
+        """Return the bounds in force."""
+        limits = self._state().limits
+        return HeadBounds(
+            limits.max_header_bytes,
+            limits.header_timeout_s * IDLE_FACTOR,
+            limits.idle_timeout_s * IDLE_FACTOR,
+        )
+
+    def on_response_complete(self) -> None:
+        """Keep the connection for as long as callers are told now."""
+        self.timeout_keep_alive = self.bounds().idle_s
+        super().on_response_complete()
+
+
 class Listener:
     """Owns a listening socket and its connections."""
 
@@ -67,14 +98,9 @@
             connection.shutdown()
 
     def _protocol(self) -> BoundedHttpProtocol:
-        limits = self._state().limits
-        protocol = BoundedHttpProtocol(
+        return CallerProtocol(
+            self._state,
             config=self._config,
             server_state=self._server_state,
             app_state={},
         )
-        protocol.max_head_bytes = limits.max_header_bytes
-        protocol.head_timeout_s = limits.header_timeout_s * IDLE_FACTOR
-        protocol.idle_timeout_s = limits.idle_timeout_s * IDLE_FACTOR
-        protocol.timeout_keep_alive = limits.idle_timeout_s * IDLE_FACTOR
-        return protocol
--- a/packages/kumquatchuted/src/kumquatchuted/gather/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -188,6 +188,7 @@
             deadline=self._state.plan.give_up_at,
             exclude=exclude,
             runs_once=False,
+            is_part=True,
             is_repeat=is_repeat,
             reply_to=self.mailbox.post,
         )
--- a/packages/kumquatchuted/src/kumquatchuted/http/server.py
+++ b/packages/kumquatchuted/src/kumquatchuted/http/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
+from dataclasses import dataclass
 import socket
 
 import msgspec
@@ -31,6 +32,19 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class HeadBounds:
+    """Bounds on the head of a request.
+
+    :param head_s: time until it is complete, in seconds
+    :param idle_s: time until the next one begins, in seconds
+    """
+
+    head_bytes: int
+    head_s: float
+    idle_s: float
+
+
 class BoundedHttpProtocol(HttpToolsProtocol):
     """HTTP protocol with bounds on the request head.
 
@@ -38,17 +52,18 @@
     complete, so that dead connections would stay open for ever.
     """
 
-    max_head_bytes = MAX_HEAD_BYTES
-    head_timeout_s = HEAD_TIMEOUT_S
-    idle_timeout_s: float = KEEP_ALIVE_S
     _in_head = True
     _head_bytes = 0
     _head_timer: asyncio.TimerHandle | None = None
 
+    def bounds(self) -> HeadBounds:
+        """Return the bounds in force."""
+        return HeadBounds(MAX_HEAD_BYTES, HEAD_TIMEOUT_S, KEEP_ALIVE_S)
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Wait for the first request as long as for a later one."""
         super().connection_made(transport)
-        self._end_after(self.idle_timeout_s)
+        self._end_after(self.bounds().idle_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer."""
@@ -61,14 +76,14 @@
         if not self._in_head:
             return
         self._head_bytes += len(data)
-        if self._head_bytes > self.max_head_bytes:
+        if self._head_bytes > self.bounds().head_bytes:
             self.transport.abort()
 
     def on_message_begin(self) -> None:
         """Start to count the bytes and the time of a head."""
         self._in_head = True
         self._head_bytes = 0
-        self._end_after(self.head_timeout_s)
+        self._end_after(self.bounds().head_s)
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/fleet.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/fleet.py
@@ -195,6 +195,15 @@
         """Return the number of attempts under way at a searcher."""
         return len(self._load(name).pending)
 
+    def describe(self, name: str, now: float) -> str:
+        """Return what the choice of a searcher depended on, for the log."""
+        load = ld.faded(self._load(name), now)
+        cold_s = max(0.0, self._cold_until.get(name, 0.0) - now)
+        return (
+            f"pending={len(load.pending)} slowness={load.slowness:.1f}"
+            f" failing={load.failing:.2f} cold_s={cold_s:.1f}"
+        )
+
     # Members
 
     def set_manifest(self, manifest: Manifest) -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
@@ -33,6 +33,7 @@
     :param deadline: monotonic time at which the caller stops waiting
     :param exclude: searchers that have had the request already
     :param runs_once: whether the request must not run twice
+    :param is_part: whether it asks for a part of a query over shards
     :param is_repeat: whether the allowance for repeated sends must cover it
     :param reply_to: receives ``AttemptSent`` and then ``AttemptDone``
     """
@@ -44,6 +45,7 @@
     deadline: float
     exclude: tuple[str, ...]
     runs_once: bool
+    is_part: bool
     is_repeat: bool
     reply_to: Callable[[object], None]
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -167,6 +167,13 @@
             for group in self._fleet.groups(services, chosen, now):
                 self._delegate(_partial_order(message, group))
                 delegated.update(group.shards)
+        log.info(
+            "query sent shards={} usable={} delegated={} request={}",
+            len(orders),
+            usable,
+            len(delegated),
+            orders[0].outgoing.request_id.decode("latin-1"),
+        )
         for shard, order in enumerate(orders):
             if shard not in delegated:
                 self._allowances.add(order.service)
@@ -194,6 +201,15 @@
         if order.is_repeat:
             self._allowances.take(order.service)
             self._count("repeats", order.service)
+        if order.is_repeat or not order.is_part:
+            log.info(
+                "attempt sent searcher={} service={} repeat={} {} request={}",
+                searcher,
+                order.service,
+                order.is_repeat,
+                self._fleet.describe(searcher, now),
+                order.outgoing.request_id.decode("latin-1"),
+            )
         self._fleet.attempt_started(searcher, now)
         self._attempts[order.key] = Attempt(
             order, searcher, now, connection, is_sent=False
