Count the attempts of another node towards those of a query

A shard there has three searchers and a route allows two; the node that gathered a part sent to two, and the node of the caller to a third after the answer was late. Ruled out: the allowance of the fleet (arrivals stayed below it). Change: a delegated shard counts as sent as often as its route allows, unless the shard has no more searchers than that; attempts that were not made are taken back.

--- a/packages/kumquatchuted/src/kumquatchuted/gather/decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/decide.py
@@ -78,8 +78,8 @@
         case ShardDone(shard=shard, result=result):
             policy = state.plan.policy
             state, actions = _shard_done(state, shard, result, policy)
-        case PartSent(shards=shards):
-            return _part_sent(state, shards), ()
+        case PartSent(shards=shards, is_bounded=is_bounded):
+            return _part_sent(state, shards, is_bounded), ()
         case PartDone():
             state, actions = _part_done(state, event)
         case NotSent(usable=usable):
@@ -142,14 +142,28 @@
     return Finish((), (), shards, failure)
 
 
-def _part_sent(state: QueryState, shards: tuple[int, ...]) -> QueryState:
+def _delegated_attempts(state: QueryState, is_bounded: bool) -> int:
+    """Return the attempts that another node can make at most.
+
+    :param is_bounded: whether a shard has no more searchers than a query may
+        be sent to, so that further attempts cannot reach too many
+    """
+    return 1 if is_bounded else state.plan.policy.max_attempts
+
+
+def _part_sent(
+    state: QueryState, shards: tuple[int, ...], is_bounded: bool
+) -> QueryState:
     """Return the state while another node gathers some of the shards.
 
     Only after the time for an answer is the node taken for late: its own
     attempts repeat what is late before.
     """
     for shard in shards:
-        item = pg.delegated(state.shards[shard], state.plan.answer_at)
+        attempts = _delegated_attempts(state, is_bounded)
+        item = pg.delegated(
+            state.shards[shard], state.plan.answer_at, attempts
+        )
         state = _with_shard(state, shard, item)
     return state
 
@@ -170,11 +184,23 @@
     actions: tuple[Action, ...] = ()
     for shard in event.shards:
         if shard not in covered:
+            if event.lost is not None and not event.lost.sent:
+                state = _take_back(state, shard, event.is_bounded)
             state, more = _shard_done(state, shard, result, policy)
             actions += more
     return state, actions
 
 
+def _take_back(state: QueryState, shard: int, is_bounded: bool) -> QueryState:
+    """Return the state without the attempts that were not made.
+
+    One of them stays, which ``finished`` takes back.
+    """
+    attempts = _delegated_attempts(state, is_bounded) - 1
+    item = pg.not_delegated(state.shards[shard], attempts)
+    return _with_shard(state, shard, item)
+
+
 def _finish(state: QueryState, now: float) -> Finish | None:
     plan = state.plan
     covered = tuple(
--- a/packages/kumquatchuted/src/kumquatchuted/gather/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/messages.py
@@ -35,9 +35,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PartSent:
-    """Another node gathers some of the shards."""
+    """Another node gathers some of the shards.
+
+    :param is_bounded: whether each of them has no more searchers than a query
+        may be sent to
+    """
 
     shards: tuple[int, ...]
+    is_bounded: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +55,7 @@
 
     shards: tuple[int, ...]
     parts: tuple[tuple[int, Reply], ...]
+    is_bounded: bool
     lost: Lost | None
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/gather/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -136,12 +136,12 @@
             case AttemptDone(key=key, result=result):
                 self._pending.discard(key)
                 return ShardDone(key.shard, result)
-            case PartialSent(key=key, shards=shards):
+            case PartialSent(key=key, order=order):
                 self._partials.add(key)
-                return PartSent(shards)
-            case PartialDone(key=key, shards=shards, parts=parts, lost=lost):
+                return PartSent(order.shards, order.is_bounded)
+            case PartialDone(key=key, order=order, parts=parts, lost=lost):
                 self._partials.discard(key)
-                return PartDone(shards, parts, lost)
+                return PartDone(order.shards, parts, order.is_bounded, lost)
             case NoneSent(usable=usable):
                 self._pending.clear()
                 return NotSent(usable)
--- a/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
@@ -115,11 +115,11 @@
     assert not actions[0].failure.not_run
 
 
-def delegated(*shards: int) -> dc.QueryState:
+def delegated(*shards: int, is_bounded: bool = True) -> dc.QueryState:
     """Return a query of which another node gathers some shards."""
     plan = dc.Plan(SHARDS, Policy(2, False), ANSWER_AT, GIVE_UP_AT, 0.75)
     state, _ = dc.decide(dc.start(plan), Started(), 0.0)
-    state, _ = dc.decide(state, PartSent(shards), 0.0)
+    state, _ = dc.decide(state, PartSent(shards, is_bounded), 0.0)
     for shard in range(SHARDS):
         if shard not in shards:
             sent = ShardSent(shard, f"a{shard}", late_s=0.03)
@@ -131,7 +131,7 @@
     """Guards against parts of another node that are lost or asked again."""
     state = answered(delegated(0, 1, 2), 3)
     parts = tuple((shard, part(shard)) for shard in (0, 1, 2))
-    _, actions = dc.decide(state, PartDone((0, 1, 2), parts, None), 0.05)
+    _, actions = dc.decide(state, PartDone((0, 1, 2), parts, True, None), 0.05)
     expected = tuple(part(n) for n in range(4))
     assert actions == (Finish((0, 1, 2, 3), expected, 0),)
 
@@ -139,7 +139,9 @@
 def test_shards_of_a_lost_node_are_asked_directly() -> None:
     """Guards against a query that fails with the node that was asked."""
     lost = Lost("refused", sent=False)
-    state, actions = dc.decide(delegated(0, 1), PartDone((0, 1), (), lost), 0)
+    state, actions = dc.decide(
+        delegated(0, 1), PartDone((0, 1), (), True, lost), 0
+    )
     assert actions == (
         SendShard(0, (), is_repeat=False),
         SendShard(1, (), is_repeat=False),
@@ -153,17 +155,46 @@
     answered at once that it covers no shard.
     """
     state = answered(delegated(0, 1, 2), 3)
-    state, actions = dc.decide(state, PartDone((0, 1, 2), (), None), 0.01)
+    state, actions = dc.decide(
+        state, PartDone((0, 1, 2), (), True, None), 0.01
+    )
     assert [type(item) for item in actions] == [SendShard] * 3
 
 
+def test_shard_is_not_sent_to_more_searchers_than_the_route_allows() -> None:
+    """Guards against attempts of two nodes that add up to too many.
+
+    With three searchers a shard, 26 queries of a hunted day ran on more of
+    them than their route allows.
+    """
+    state = answered(delegated(0, 1, is_bounded=False), 2, 3)
+    state, actions = dc.decide(state, Woken(), ANSWER_AT + 0.01)
+    assert not actions
+    lost = Lost("closed", sent=True)
+    part_done = PartDone((0, 1), (), False, lost)
+    _, actions = dc.decide(state, part_done, ANSWER_AT + 0.02)
+    assert not [item for item in actions if isinstance(item, SendShard)]
+
+
+def test_node_that_sent_nothing_leaves_all_attempts() -> None:
+    """Guards against a query that fails with a node that was not reached."""
+    state = answered(delegated(0, 1, is_bounded=False), 2)
+    part_done = PartDone((0, 1), (), False, Lost("refused", sent=False))
+    state, actions = dc.decide(state, part_done, 0.01)
+    assert actions == (SendShard(0, (), False), SendShard(1, (), False))
+    for shard in (0, 1):
+        sent = ShardSent(shard, "b", 0.03)
+        state, _ = dc.decide(state, sent, 0.01)
+        assert state.shards[shard].sent == 1
+
+
 def test_answer_of_a_node_replaces_parts_that_came_meanwhile() -> None:
     """Guards against records of a shard that count twice."""
     state = answered(delegated(0, 1, 2), 3)
     again = Reply(200, b"direct", b"", False, False, ())
     state, _ = dc.decide(state, ShardDone(0, again), 0.04)
     parts = tuple((shard, part(shard)) for shard in (0, 1, 2))
-    _, actions = dc.decide(state, PartDone((0, 1, 2), parts, None), 0.05)
+    _, actions = dc.decide(state, PartDone((0, 1, 2), parts, True, None), 0.05)
     assert again not in actions[0].parts
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/partials/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/messages.py
@@ -18,6 +18,8 @@
     :param shards: positions of the shards in the query
     :param services: the shards, in the same order
     :param top: number of records that the query asks for
+    :param is_bounded: whether each shard has no more searchers than a query
+        may be sent to
     :param answer_at: monotonic time at which its answer must be here
     :param reply_to: receives ``PartialSent`` and then ``PartialDone``
     """
@@ -28,6 +30,7 @@
     shards: tuple[int, ...]
     services: tuple[str, ...]
     top: int
+    is_bounded: bool
     outgoing: Outgoing
     answer_at: float
     reply_to: Callable[[object], None]
@@ -45,7 +48,7 @@
     """A node was chosen."""
 
     key: object
-    shards: tuple[int, ...]
+    order: PartialOrder
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +61,7 @@
     """
 
     key: object
-    shards: tuple[int, ...]
+    order: PartialOrder
     parts: tuple[tuple[int, Reply], ...]
     lost: Lost | None = None
 
--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -99,9 +99,9 @@
         if node is None:
             self._count("partials", "no_node")
             lost = Lost("no node is usable there", sent=False)
-            order.reply_to(PartialDone(order.key, order.shards, (), lost))
+            order.reply_to(PartialDone(order.key, order, (), lost))
             return
-        order.reply_to(PartialSent(order.key, order.shards))
+        order.reply_to(PartialSent(order.key, order))
         self._calls[order.key] = asyncio.ensure_future(self._call(node, order))
 
     async def _call(self, node: Node, order: PartialOrder) -> None:
@@ -122,12 +122,12 @@
                     reason,
                     order.outgoing.request_id.decode("latin-1"),
                 )
-                done = PartialDone(order.key, order.shards, (), result)
+                done = PartialDone(order.key, order, (), result)
             case PartialAnswer():
                 self._count("partials", "answered")
                 self._states[node.name] = NodeState(state.pending)
                 parts = _parts(order, result)
-                done = PartialDone(order.key, order.shards, parts)
+                done = PartialDone(order.key, order, parts)
         order.reply_to(done)
 
     async def _exchange(
--- a/packages/kumquatchuted/src/kumquatchuted/retries/progress.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/progress.py
@@ -80,9 +80,20 @@
     )
 
 
-def delegated(progress: Progress, late_at: float) -> Progress:
-    """Return the state after another node was asked in place of a searcher."""
-    return replace(progress, sent=progress.sent + 1, late_at=late_at)
+def delegated(progress: Progress, late_at: float, attempts: int) -> Progress:
+    """Return the state after another node was asked in place of a searcher.
+
+    :param attempts: searchers to which it may send the request
+    """
+    return replace(progress, sent=progress.sent + attempts, late_at=late_at)
+
+
+def not_delegated(progress: Progress, attempts: int) -> Progress:
+    """Return the state after the other node turned out to have sent nothing.
+
+    :param attempts: as for ``delegated``
+    """
+    return replace(progress, sent=progress.sent - attempts)
 
 
 def covered(progress: Progress, reply: Reply) -> Progress:
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/fleet.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/fleet.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Collection
+from collections import Counter
 import random
 
 from logbook import Logger
@@ -55,6 +56,7 @@
         self._rng = rng
         self._specs: dict[str, ServiceSpec] = {}
         self._searchers: dict[str, Searcher] = {}
+        self._counts: Counter[str] = Counter()
         self._by_service: dict[str, list[Searcher]] = {}
         self._nodes: frozenset[str] = frozenset((cfg.node,))
         self._other_nodes_in: frozenset[str] = frozenset()
@@ -120,6 +122,10 @@
         }
         return group_far_shards(reachable, own, self._other_nodes_in)
 
+    def searcher_count(self, service: str) -> int:
+        """Return the number of searchers of a service, usable or not."""
+        return self._counts[service]
+
     def most_connections(self, service: str) -> int:
         """Return how many connections to a searcher this node may hold."""
         spec = self._specs.get(service, DEFAULT_SPEC)
@@ -236,6 +242,9 @@
                 seen_at = message.seen_at.get(name, now)
                 until = seen_at + searcher.cold_left_s + COLD_MARGIN_S
                 self._set_cold(name, until)
+        self._counts = Counter(
+            searcher.service for searcher in self._searchers.values()
+        )
         self._by_service = {}
         for searcher in self._searchers.values():
             is_ready = searcher.state is SearcherState.READY
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -165,7 +165,8 @@
         if message.top:
             services = tuple(order.service for order in orders)
             for group in self._fleet.groups(services, chosen, now):
-                self._delegate(_partial_order(message, group))
+                order = self._partial_order(message, group)
+                self._delegate(order)
                 delegated.update(group.shards)
         log.info(
             "query sent shards={} usable={} delegated={} request={}",
@@ -337,19 +338,22 @@
         )
         order.reply_to(AttemptDone(order.key, None, refusal))
 
-
-def _partial_order(message: SendShards, group: Group) -> PartialOrder:
-    first = message.orders[group.shards[0]]
-    return PartialOrder(
-        key=(first.key, group.data_centre),
-        route=first.route,
-        data_centre=group.data_centre,
-        shards=group.shards,
-        services=tuple(
-            message.orders[shard].service for shard in group.shards
-        ),
-        top=message.top,
-        outgoing=first.outgoing,
-        answer_at=message.answer_at,
-        reply_to=message.reply_to,
-    )
+    def _partial_order(
+        self, message: SendShards, group: Group
+    ) -> PartialOrder:
+        orders = [message.orders[shard] for shard in group.shards]
+        first = orders[0]
+        services = tuple(order.service for order in orders)
+        most = max(self._fleet.searcher_count(name) for name in services)
+        return PartialOrder(
+            key=(first.key, group.data_centre),
+            route=first.route,
+            data_centre=group.data_centre,
+            shards=group.shards,
+            services=services,
+            top=message.top,
+            is_bounded=most <= first.route.max_attempts,
+            outgoing=first.outgoing,
+            answer_at=message.answer_at,
+            reply_to=message.reply_to,
+        )
