--- a/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/tests/test_fleet_site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/tests/test_fleet_site.py
@@ -72,6 +72,12 @@
         none = await call(session, port, "/unknown/7", ())
         assert none.status == 404
         assert site.store.names("querynodes") == {"n0", "n1"}
+        url = f"http://127.0.0.1:{site.nodes[0].metrics}/metrics"
+        async with session.get(url) as response:
+            measures = await response.text()
+        assert 'kumquatchute_request_seconds_count{kind="query"} 50.0' in (
+            measures
+        )
 
     on_site(tmp_path, scenario)
 
--- a/packages/kumquatchuted/src/kumquatchuted/front/router.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/router.py
@@ -47,16 +47,19 @@
         post: Post,
         delegate: Post,
         clock: Callable[[], float],
+        observe: Callable[[str, float], None] = lambda kind, seconds: None,
     ) -> None:
         """Create a router.
 
         :param state: returns the manifest in force
         :param post: mailbox of the task of searchers
         :param delegate: mailbox of the task of partial queries
+        :param observe: records the time of a request by its kind
         """
         self._state = state
         self._post = post
         self._delegate = delegate
+        self._observe = observe
         self._clock = clock
         self._splits: dict[str, SplitState] = {}
         self._longest: dict[str, float] = {}
@@ -91,15 +94,10 @@
                 result, attempts, detail = await self._forward(
                     route, service, req, times
                 )
-        _log_end(
-            req,
-            route,
-            table.version,
-            result,
-            attempts,
-            detail,
-            self._clock() - started,
-        )
+        took_s = self._clock() - started
+        is_query = isinstance(route.destination, AllShards)
+        self._observe("query" if is_query else "single", took_s)
+        _log_end(req, route, table.version, result, attempts, detail, took_s)
         return result
 
     async def _gather(
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -102,7 +102,11 @@
     followers = _followers(client, membership, rng, clock)
     membership.restarts = tuple(item.restart for item in followers)
     router = Router(
-        front.state, searchers.mailbox.post, partials.mailbox.post, clock
+        front.state,
+        searchers.mailbox.post,
+        partials.mailbox.post,
+        clock,
+        metrics.observe,
     )
     sink = CallerSink(router, front.state, requests, metrics.count)
     callers = Listener(caller_app(sink), front.state)
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/metrics.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/metrics.py
@@ -3,6 +3,25 @@
 from prometheus_client import CollectorRegistry
 from prometheus_client import Counter
 from prometheus_client import generate_latest
+from prometheus_client import Histogram
+
+# Bounds in seconds: from a short answer within a data centre to the longest
+# time limits of the users' routes.
+BUCKETS_S = (
+    0.005,
+    0.01,
+    0.02,
+    0.03,
+    0.05,
+    0.075,
+    0.1,
+    0.15,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    6.0,
+)
 
 
 class GatewayMetrics:
@@ -18,6 +37,21 @@
             registry=self._registry,
         )
 
+        self._seconds = Histogram(
+            "kumquatchute_request_seconds",
+            "Time from the receipt of a request to its end.",
+            ["kind"],
+            buckets=BUCKETS_S,
+            registry=self._registry,
+        )
+
+    def observe(self, kind: str, seconds: float) -> None:
+        """Record the time of a request.
+
+        :param kind: ``query`` over shards or ``single``
+        """
+        self._seconds.labels(kind).observe(seconds)
+
     def count(self, event: str, label: str) -> None:
         """Count an event.
 
