Play random faults against real nodes and follow the settings file

Cause: no test struck several faults at once from outside the processes, and a changed settings file had no effect. Ruled out: faults by hooks in the product. Change: a soak with proxies on links to the store and to searchers, seeded plans and checks from what callers and searchers saw; a task that reads the settings file on a signal and every 2 s and posts changes to the tasks that use them.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	packages/kumquatchute-bench
 SOURCES := packages
 
-.PHONY: install test lint format matrix demo bench clean
+.PHONY: install test lint format matrix demo soak bench clean
 
 install: $(VENV)/.installed
 
@@ -37,6 +37,13 @@
 	$(BIN)/python -m kumquatchute_standins.fleet
 	$(BIN)/python -m kumquatchute_standins.demo
 
+# SEEDS is the number of seeds, MINUTES the time after which none begins.
+SEEDS ?= 50
+MINUTES ?= 60
+soak: install
+	$(BIN)/python -m kumquatchute_standins.soak --seeds $(SEEDS) \
+		--minutes $(MINUTES)
+
 bench: install
 	$(BIN)/python -m kumquatchute_bench
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/site.py
@@ -1,6 +1,7 @@
 """A site of nodes, searchers and a store on loopback addresses."""
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import dataclass
 import os
 from pathlib import Path
@@ -9,6 +10,7 @@
 
 import aiohttp
 
+from kumquatchute_standins.fleet.proxy import Proxy
 from kumquatchute_standins.fleet.searcher import Arrival
 from kumquatchute_standins.fleet.searcher import SearcherStandIn
 from kumquatchute_standins.fleet.store import StoreStandIn
@@ -51,12 +53,15 @@
     :param shards: number of shards
     :param replicas: data centre of each searcher of a shard
     :param singles: data centre of each searcher of the single service
+    :param proxied: whether links to the store and to searchers lead through
+        proxies
     """
 
     nodes: tuple[str, ...] = ("a", "b")
     shards: int = 4
     replicas: tuple[str, ...] = ("a", "b")
     singles: tuple[str, ...] = ("a", "b")
+    proxied: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,10 +90,21 @@
         self.shard_names = tuple(f"sh{n:02d}" for n in range(shape.shards))
         count = len(shape.nodes) * PORTS_PER_NODE + 1
         count += shape.shards * len(shape.replicas) + len(shape.singles)
+        if shape.proxied:
+            count *= 2
         ports = iter(free_ports(count))
-        self.store = StoreStandIn(f"127.0.0.1:{next(ports)}")
+        store_port = next(ports)
+        self.store = StoreStandIn(f"127.0.0.1:{store_port}")
         self.searchers = self._make_searchers(ports)
-        self.nodes = self._make_nodes(ports)
+        self.links: list[Proxy] = []
+        stores = [
+            self._link(store_port, ports) for _ in range(len(shape.nodes))
+        ]
+        self._ports_of = {
+            searcher.name: self._link(searcher.port, ports)
+            for searcher in self.searchers
+        }
+        self.nodes = self._make_nodes(ports, stores)
         self._running: dict[str, asyncio.subprocess.Process] = {}
 
     async def __aenter__(self) -> "FleetSite":
@@ -96,7 +112,9 @@
         await self.store.start()
         for searcher in self.searchers:
             await searcher.start()
-            self.store.put("servers", searcher.name, searcher.entry())
+            self.put_searcher(searcher)
+        for link in self.links:
+            await link.start()
         self.publish()
         for node in self.nodes:
             await self.start_node(node)
@@ -110,10 +128,20 @@
             if process.returncode is None:
                 process.kill()
             await process.wait()
+        for link in self.links:
+            await link.stop()
         for searcher in self.searchers:
             await searcher.stop()
         await self.store.stop()
 
+    def put_searcher(
+        self, searcher: SearcherStandIn, state: str = "ready", cold_ms: int = 0
+    ) -> None:
+        """Write the entry of a searcher."""
+        entry = searcher.entry(state, cold_ms)
+        entry["address"] = f"127.0.0.1:{self._ports_of[searcher.name]}"
+        self.store.put("servers", searcher.name, entry)
+
     def publish(self, shards: tuple[str, ...] | None = None) -> None:
         """Write the next version of the manifest."""
         self.version += 2
@@ -166,7 +194,15 @@
             if item.searcher == searcher and item.at > after
         ]
 
-    def _make_searchers(self, ports: object) -> list[SearcherStandIn]:
+    def _link(self, target: int, ports: Iterator[int]) -> int:
+        """Return the port that leads to a target, through a proxy or not."""
+        if not self.shape.proxied:
+            return target
+        port = next(ports)
+        self.links.append(Proxy(port, target))
+        return port
+
+    def _make_searchers(self, ports: Iterator[int]) -> list[SearcherStandIn]:
         places = [
             (service, data_centre)
             for service in self.shard_names
@@ -186,14 +222,17 @@
             for number, (service, data_centre) in enumerate(places)
         ]
 
-    def _make_nodes(self, ports: object) -> list[NodePlace]:
+    def _make_nodes(
+        self, ports: Iterator[int], stores: list[int]
+    ) -> list[NodePlace]:
         places = [
             (f"n{number}", data_centre, [next(ports) for _ in range(4)])
             for number, data_centre in enumerate(self.shape.nodes)
         ]
         seeds = ", ".join(f'"127.0.0.1:{at[2]}"' for _, _, at in places[:3])
         nodes = []
-        for name, data_centre, (front, ready, control, metrics) in places:
+        for store, place in zip(stores, places):
+            name, data_centre, (front, ready, control, metrics) = place
             settings = self.folder / f"{name}.toml"
             settings.write_text(
                 SETTINGS.format(
@@ -204,7 +243,7 @@
                     control=control,
                     metrics=metrics,
                     seeds=seeds,
-                    store=self.store.address,
+                    store=f"127.0.0.1:{store}",
                 ),
                 encoding="utf-8",
             )
--- /dev/null
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real nodes, faults from outside, promises checked."""
--- /dev/null
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/__main__.py
@@ -0,0 +1,72 @@
+"""Runs the soak over many seeds, several at a time."""
+
+from concurrent.futures import as_completed
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+import random
+import sys
+import time
+from typing import Annotated
+
+import typer
+
+from kumquatchute_standins.soak.run import Outcome
+from kumquatchute_standins.soak.run import run_seed
+
+# A run uses four processes; so many at a time stay far below half of the
+# memory of the smallest machine that the project is tested on.
+AT_A_TIME = 3
+
+
+def report(outcome: Outcome) -> None:
+    """Print a line for a seed, and its steps if a promise was broken."""
+    state = "FAILED" if outcome.faults else "ok"
+    print(
+        f"seed {outcome.seed}: {state},"
+        f" {outcome.served} of {outcome.requests} queries served,"
+        f" {len(outcome.steps)} disturbances",
+        flush=True,
+    )
+    if outcome.faults:
+        for fault in outcome.faults:
+            print(f"  {fault}")
+        for step in outcome.steps:
+            print(f"    {step.at:.2f} s, {step.for_s:.2f} s: {step.what}")
+
+
+def main(
+    seeds: Annotated[int, typer.Option(help="Number of seeds.")] = 50,
+    first: Annotated[
+        int | None, typer.Option(help="First seed; drawn if not given.")
+    ] = None,
+    minutes: Annotated[
+        float, typer.Option(help="Begin no seed after this time.")
+    ] = 60.0,
+    folder: Annotated[
+        Path, typer.Option(help="Receives settings and logs of each seed.")
+    ] = Path("soak-out"),
+) -> None:
+    """Disturb real nodes at random and check what they promise."""
+    start = random.randrange(1_000_000) if first is None else first
+    deadline = time.monotonic() + minutes * 60
+    failed = played = 0
+    with ProcessPoolExecutor(AT_A_TIME) as pool:
+        futures = [
+            pool.submit(run_seed, seed, folder / str(seed))
+            for seed in range(start, start + seeds)
+        ]
+        for future in as_completed(futures):
+            outcome = future.result()
+            report(outcome)
+            played += 1
+            failed += bool(outcome.faults)
+            if time.monotonic() > deadline:
+                for waiting in futures:
+                    waiting.cancel()
+                break
+    print(f"{played} seeds, {failed} with a broken promise")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/tests/test_soak.py
@@ -0,0 +1,23 @@
+"""A short run of the soak, and the seeds that once failed."""
+
+from pathlib import Path
+
+import pytest
+
+from kumquatchute_standins.soak.plan import draw_plan
+from kumquatchute_standins.soak.run import run_seed
+
+SHORT_RUN = (1, 2, 3)
+
+
+@pytest.mark.parametrize("seed", SHORT_RUN)
+def test_promises_hold_under_random_faults(tmp_path: Path, seed: int) -> None:
+    """Guards against broken promises under faults that overlap."""
+    assert run_seed(seed, tmp_path).faults == ()
+
+
+def test_seed_gives_the_same_plan_each_time() -> None:
+    """Guards against a failure that its seed does not bring back."""
+    first = draw_plan(7, 3, 14, 17, "ab")
+    assert first == draw_plan(7, 3, 14, 17, "ab")
+    assert first != draw_plan(8, 3, 14, 17, "ab")
--- a/packages/kumquatchuted/src/kumquatchuted/front/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/task.py
@@ -9,6 +9,7 @@
 from kumquatchuted.front.app import Requests
 from kumquatchuted.front.messages import FrontState
 from kumquatchuted.front.messages import StopRequested
+from kumquatchuted.gateway.settings import SettingsChanged
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.membership.messages import MembersChanged
 from kumquatchuted.routing.messages import CallerLimits
@@ -77,6 +78,8 @@
             case MembersChanged(searchers=searchers):
                 if searchers:
                     self._state = replace(self._state, has_searchers=True)
+            case SettingsChanged(cfg=cfg):
+                self._grace_s = cfg.limits.grace_s
             case StopRequested() if not self._state.is_stopping:
                 log.info("stop requested open={}", self._requests.open)
                 self._state = replace(self._state, is_stopping=True)
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -16,6 +16,7 @@
 from kumquatchuted.front.router import Router
 from kumquatchuted.front.task import FrontTask
 from kumquatchuted.gateway.metrics import GatewayMetrics
+from kumquatchuted.gateway.reload import ReloadTask
 from kumquatchuted.gateway.settings import GatewaySettings
 from kumquatchuted.membership.follower import Follower
 from kumquatchuted.membership.messages import Node
@@ -64,11 +65,17 @@
     open: Callable
     close: Callable
     request_stop: Callable[[], None]
+    reload: Callable[[], None]
 
 
-def build_gateway(cfg: GatewaySettings, stop: Callable[[], None]) -> Gateway:
+def build_gateway(
+    cfg: GatewaySettings,
+    read: Callable[[], GatewaySettings | Failure],
+    stop: Callable[[], None],
+) -> Gateway:
     """Build all parts of a node.
 
+    :param read: reads the settings file again
     :param stop: called once, when the process is to end
     """
     clock = asyncio.get_running_loop().time
@@ -143,17 +150,28 @@
         await once()
         await asyncio.Event().wait()
 
+    reload = ReloadTask(
+        cfg,
+        read,
+        (
+            membership.mailbox.post,
+            searchers.mailbox.post,
+            front.mailbox.post,
+        ),
+    )
     return Gateway(
         runs=(
             membership.run,
             searchers.run,
             partials.run,
             front.run,
+            reload.run,
             *(follower.run for follower in followers),
             lambda: run_forever(register),
         ),
         open=open_listeners,
         close=close_clients,
+        reload=reload.reload,
         request_stop=lambda: front.mailbox.post(StopRequested()),
     )
 
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/core.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/core.py
@@ -1,6 +1,7 @@
 """Runs a node on the users' platform and returns an exit status."""
 
 import asyncio
+from collections.abc import Callable
 import gc
 import signal
 import sys
@@ -33,12 +34,14 @@
     # What the imports created stays until the end; collections need not
     # look at it again and again.
     gc.freeze()
-    return asyncio.run(_run(cfg))
+    return asyncio.run(_run(cfg, lambda: read_settings(path)))
 
 
-async def _run(cfg: GatewaySettings) -> ExitStatus:
+async def _run(
+    cfg: GatewaySettings, read: Callable[[], GatewaySettings | Failure]
+) -> ExitStatus:
     stopped = asyncio.Event()
-    gateway = build_gateway(cfg, stopped.set)
+    gateway = build_gateway(cfg, read, stopped.set)
     fault = await gateway.open()
     if fault is not None:
         log.error("{}", fault.reason)
@@ -46,7 +49,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, gateway.request_stop)
-    loop.add_signal_handler(signal.SIGHUP, log.info, "settings unchanged")
+    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     log.info("started node={} data_centre={}", cfg.node, cfg.data_centre)
     status = await _supervise(gateway, stopped)
     await gateway.close()
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/reload.py
@@ -0,0 +1,76 @@
+"""The task that notices changes of the settings file."""
+
+import asyncio
+from collections.abc import Callable
+
+from logbook import Logger
+
+from kumquatchute_model.errors import Failure
+from kumquatchuted.gateway.settings import GatewaySettings
+from kumquatchuted.gateway.settings import SettingsChanged
+from kumquatchuted.mailbox import Post
+
+log = Logger("node")
+
+# The file can change without a signal; looking every so many seconds costs
+# nothing beside requests and is soon enough for addresses that move.
+LOOK_S = 2.0
+
+
+class ReloadTask:
+    """Owns the settings in force and posts those that change."""
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        read: Callable[[], GatewaySettings | Failure],
+        posts: tuple[Post, ...],
+    ) -> None:
+        """Create the task.
+
+        :param cfg: settings in force
+        :param read: reads and checks the settings file
+        """
+        self._cfg = cfg
+        self._read = read
+        self._posts = posts
+        self._signalled = asyncio.Event()
+        self._fault: str | None = None
+
+    def reload(self) -> None:
+        """Look at the file now, because a signal said that it changed."""
+        self._signalled.set()
+
+    async def run(self) -> None:
+        """Look at the file until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(LOOK_S):
+                    await self._signalled.wait()
+                log.info("reload requested")
+            except TimeoutError:
+                # Nobody signalled; the file may have changed all the same.
+                pass
+            self._signalled.clear()
+            self.look()
+
+    def look(self) -> None:
+        """Read the file and post its settings if they differ."""
+        cfg = self._read()
+        if isinstance(cfg, Failure):
+            if cfg.reason != self._fault:
+                log.warning("settings kept cause={}", cfg.reason)
+            self._fault = cfg.reason
+            return
+        self._fault = None
+        if cfg == self._cfg:
+            return
+        changed = [
+            name
+            for name in GatewaySettings.__dataclass_fields__
+            if getattr(cfg, name) != getattr(self._cfg, name)
+        ]
+        log.info("settings changed fields={}", ",".join(changed))
+        self._cfg = cfg
+        for post in self._posts:
+            post(SettingsChanged(cfg))
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/settings.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/settings.py
@@ -48,3 +48,13 @@
     seeds: tuple[str, ...]
     store: str
     limits: GatewayLimits
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """The settings file has changed.
+
+    Addresses of listeners stay as they were at the start.
+    """
+
+    cfg: GatewaySettings
--- a/packages/kumquatchuted/src/kumquatchuted/membership/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/task.py
@@ -6,6 +6,7 @@
 from logbook import Logger
 
 from kumquatchuted.gateway.settings import GatewaySettings
+from kumquatchuted.gateway.settings import SettingsChanged
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.mailbox import Post
 from kumquatchuted.membership.messages import MembersChanged
@@ -124,6 +125,9 @@
                     if name not in change.removed
                 }
                 self._add_nodes(change.written)
+            case SettingsChanged(cfg=cfg):
+                self._cfg = cfg
+                self._order_sources()
             case StoreLost(topic=topic, reason=reason):
                 self._store_lost(topic, reason)
             case StoreRegained(topic=topic):
@@ -136,6 +140,9 @@
             if isinstance(item.value, Node)
         }
         self._nodes = {**self._nodes, **nodes}
+        self._order_sources()
+
+    def _order_sources(self) -> None:
         cfg = self._cfg
         former = self._sources[0]
         self._sources = order_sources(
--- a/packages/kumquatchuted/src/kumquatchuted/retries/allowances.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/allowances.py
@@ -12,6 +12,10 @@
         self._nodes = 1
         self._budgets: dict[str, bud.Budget] = {}
 
+    def set_limits(self, limits: bud.BudgetLimits) -> None:
+        """Set the limits of the fleet."""
+        self._limits = limits
+
     def set_nodes(self, count: int) -> None:
         """Set the number of nodes that share the limit of the fleet."""
         self._nodes = count
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/fleet.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/fleet.py
@@ -212,6 +212,10 @@
 
     # Members
 
+    def set_settings(self, cfg: GatewaySettings) -> None:
+        """Take over the limits of the fleet."""
+        self._cfg = cfg
+
     def set_manifest(self, manifest: Manifest) -> None:
         """Take over the limits of the services."""
         self._specs = dict(manifest.services)
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -12,6 +12,7 @@
 from logbook import Logger
 
 from kumquatchuted.gateway.settings import GatewaySettings
+from kumquatchuted.gateway.settings import SettingsChanged
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.membership.messages import MembersChanged
 from kumquatchuted.membership.messages import Searcher
@@ -90,9 +91,7 @@
         self._delegate = delegate
         self._fleet = Fleet(cfg, rng)
         self._pool = Pool(wire.ID_HEADER, self.mailbox.post)
-        self._allowances = Allowances(
-            BudgetLimits(cfg.limits.retry_ratio, cfg.limits.retry_slack)
-        )
+        self._allowances = Allowances(_budget_limits(cfg))
         self._attempts: dict[object, Attempt] = {}
 
     async def run(self) -> None:
@@ -123,6 +122,9 @@
                 for name in self._fleet.set_members(message, self._clock()):
                     self._pool.close_idle(name)
                 self._allowances.set_nodes(self._fleet.node_count())
+            case SettingsChanged(cfg=cfg):
+                self._fleet.set_settings(cfg)
+                self._allowances.set_limits(_budget_limits(cfg))
             case ManifestChanged(manifest=manifest):
                 self._fleet.set_manifest(manifest)
 
@@ -357,3 +359,7 @@
             answer_at=message.answer_at,
             reply_to=message.reply_to,
         )
+
+
+def _budget_limits(cfg: GatewaySettings) -> BudgetLimits:
+    return BudgetLimits(cfg.limits.retry_ratio, cfg.limits.retry_slack)
