--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
@@ -60,7 +60,9 @@
         self._faults: list[str] = []
         self._well_since = 0.0
         self._tasks: set[asyncio.Task] = set()
+        # Nodes and searchers that do not run or stand still.
         self._busy: set[str] = set()
+        self._down: set[str] = set()
 
     async def run(self) -> Outcome:
         """Play the plan and judge it."""
@@ -170,11 +172,15 @@
 
     async def _crash(self, number: int, for_s: float) -> None:
         searcher = self._site.searchers[number]
+        if searcher.name in self._down:
+            return
+        self._down.add(searcher.name)
         await searcher.stop()
         await asyncio.sleep(for_s)
         searcher.started += 1
         self._site.put_searcher(searcher, cold_ms=COLD_MS)
         await searcher.start()
+        self._down.discard(searcher.name)
         back = asyncio.get_running_loop().time()
         await asyncio.sleep(COLD_MS / 1000)
         times = [
