Count open requests by messages and keep the emulator in the platform folder

Cause: the listeners' task and the sink shared a mutable counter; the emulator speaks the platform's words outside a folder of that name; a table of the stand-ins was a data class that changes. Ruled out: a lock-free shared object (one owner is the rule). Change: RequestBegan and RequestEnded, stand-ins' platform/fleet, an ordinary class for the table, one set of settings for tests.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(BIN)/python -m kumquatchute_bench.fault_matrix $(MATRIX_OPTIONS)
 
 demo: install
-	$(BIN)/python -m kumquatchute_standins.fleet
+	$(BIN)/python -m kumquatchute_standins.platform.fleet
 	$(BIN)/python -m kumquatchute_standins.demo
 
 # SEEDS is the number of seeds, MINUTES the time after which none begins.
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/__main__.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/__main__.py
@@ -12,13 +12,13 @@
 import aiohttp
 import typer
 
-from kumquatchute_standins.fleet.callers import call
-from kumquatchute_standins.fleet.callers import Seen
-from kumquatchute_standins.fleet.callers import steady
-from kumquatchute_standins.fleet.searcher import SearcherFaults
-from kumquatchute_standins.fleet.site import FleetSite
-from kumquatchute_standins.fleet.site import Shape
-from kumquatchute_standins.fleet.store import StoreFaults
+from kumquatchute_standins.platform.fleet.callers import call
+from kumquatchute_standins.platform.fleet.callers import Seen
+from kumquatchute_standins.platform.fleet.callers import steady
+from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
+from kumquatchute_standins.platform.fleet.site import FleetSite
+from kumquatchute_standins.platform.fleet.site import Shape
+from kumquatchute_standins.platform.fleet.store import StoreFaults
 
 PER_S = 40.0
 STEP_S = 3.0
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/callers.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/callers.py
@@ -8,10 +8,10 @@
 import aiohttp
 from yarl import URL
 
-from kumquatchute_standins.fleet.searcher import records
-from kumquatchute_standins.fleet.searcher import stamp
-from kumquatchute_standins.fleet.site import HOST
-from kumquatchute_standins.fleet.site import TOP
+from kumquatchute_standins.platform.fleet.searcher import records
+from kumquatchute_standins.platform.fleet.searcher import stamp
+from kumquatchute_standins.platform.fleet.site import HOST
+from kumquatchute_standins.platform.fleet.site import TOP
 
 TIME_LIMIT_MS = 2000
 RECORD_BYTES = 16
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
@@ -10,10 +10,10 @@
 
 import aiohttp
 
-from kumquatchute_standins.fleet.proxy import Proxy
-from kumquatchute_standins.fleet.searcher import Arrival
-from kumquatchute_standins.fleet.searcher import SearcherStandIn
-from kumquatchute_standins.fleet.store import StoreStandIn
+from kumquatchute_standins.platform.fleet.proxy import Proxy
+from kumquatchute_standins.platform.fleet.searcher import Arrival
+from kumquatchute_standins.platform.fleet.searcher import SearcherStandIn
+from kumquatchute_standins.platform.fleet.store import StoreStandIn
 from kumquatchute_standins.ports import free_ports
 
 HOST = "search.example"
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/store.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/store.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from kumquatchute_standins.fleet import table as tb
+from kumquatchute_standins.platform.fleet import table as tb
 
 PAGE = 50
 # Watches that wait need not end before the store does, in seconds.
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/fleet/tests/test_fleet_site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_fleet_site.py
@@ -10,13 +10,13 @@
 import aiohttp
 import pytest
 
-from kumquatchute_standins.fleet.callers import call
-from kumquatchute_standins.fleet.callers import Seen
-from kumquatchute_standins.fleet.callers import steady
-from kumquatchute_standins.fleet.searcher import SearcherFaults
-from kumquatchute_standins.fleet.site import FleetSite
-from kumquatchute_standins.fleet.site import Shape
-from kumquatchute_standins.fleet.store import StoreFaults
+from kumquatchute_standins.platform.fleet.callers import call
+from kumquatchute_standins.platform.fleet.callers import Seen
+from kumquatchute_standins.platform.fleet.callers import steady
+from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
+from kumquatchute_standins.platform.fleet.site import FleetSite
+from kumquatchute_standins.platform.fleet.site import Shape
+from kumquatchute_standins.platform.fleet.store import StoreFaults
 
 PER_S = 25.0
 # Time in which a change of the store is in force on every node.
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/table.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/table.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
-from dataclasses import dataclass
-from dataclasses import field
 from types import MappingProxyType
 from typing import Any
 import uuid
@@ -49,16 +47,15 @@
     return DISCOVERY_GROUP if plural == ENDPOINT_SLICES else CUSTOM_GROUP
 
 
-@dataclass
 class ScopeTable:
-    """Objects of one scope.
+    """Owns the objects of one scope and their changes."""
 
-    :param floor: history is complete only after this version
-    """
-
-    objects: dict[str, Manifest] = field(default_factory=dict)
-    history: list[Change] = field(default_factory=list)
-    floor: int = 0
+    def __init__(self) -> None:
+        """Create without objects."""
+        self.objects: dict[str, Manifest] = {}
+        self.history: list[Change] = []
+        # History is complete only after this version.
+        self.floor = 0
 
     def as_of(self, version: int) -> dict[str, Manifest]:
         """Return the objects as they were at a version."""
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/checks.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/checks.py
@@ -4,8 +4,8 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from kumquatchute_standins.fleet.callers import Seen
-from kumquatchute_standins.fleet.searcher import Arrival
+from kumquatchute_standins.platform.fleet.callers import Seen
+from kumquatchute_standins.platform.fleet.searcher import Arrival
 
 # Statuses that promise that the request has not run and never will.
 PROMISES = (408, 421, 429, 503)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from random import Random
 
-from kumquatchute_standins.fleet.proxy import LinkFaults
-from kumquatchute_standins.fleet.searcher import SearcherFaults
-from kumquatchute_standins.fleet.store import StoreFaults
+from kumquatchute_standins.platform.fleet.proxy import LinkFaults
+from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
+from kumquatchute_standins.platform.fleet.store import StoreFaults
 
 LENGTH_S = 12.0
 # Time at the end without new disturbances, in which service must recover.
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
@@ -7,14 +7,14 @@
 
 import aiohttp
 
-from kumquatchute_standins.fleet.callers import call
-from kumquatchute_standins.fleet.callers import Seen
-from kumquatchute_standins.fleet.proxy import LinkFaults
-from kumquatchute_standins.fleet.searcher import SearcherFaults
-from kumquatchute_standins.fleet.site import FleetSite
-from kumquatchute_standins.fleet.site import NodePlace
-from kumquatchute_standins.fleet.site import Shape
-from kumquatchute_standins.fleet.store import StoreFaults
+from kumquatchute_standins.platform.fleet.callers import call
+from kumquatchute_standins.platform.fleet.callers import Seen
+from kumquatchute_standins.platform.fleet.proxy import LinkFaults
+from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
+from kumquatchute_standins.platform.fleet.site import FleetSite
+from kumquatchute_standins.platform.fleet.site import NodePlace
+from kumquatchute_standins.platform.fleet.site import Shape
+from kumquatchute_standins.platform.fleet.store import StoreFaults
 from kumquatchute_standins.soak import checks
 from kumquatchute_standins.soak import plan as pl
 
--- a/packages/kumquatchuted/src/kumquatchuted/front/app.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/app.py
@@ -1,7 +1,6 @@
 """The falcon applications of the listeners."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import falcon
 import falcon.asgi
@@ -12,10 +11,13 @@
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchuted.front.messages import FrontState
+from kumquatchuted.front.messages import RequestBegan
+from kumquatchuted.front.messages import RequestEnded
 from kumquatchuted.front.router import Answer
 from kumquatchuted.front.router import Router
 from kumquatchuted.http.disconnect import Application
 from kumquatchuted.http.disconnect import CancelOnDisconnect
+from kumquatchuted.mailbox import Post
 from kumquatchuted.partials.codec import decode_partial
 from kumquatchuted.partials.codec import encode
 from kumquatchuted.partials.messages import PartialRequest
@@ -33,13 +35,6 @@
 DEFAULT_RETRY_S = 0.5
 
 
-@dataclass
-class Requests:
-    """Number of requests under way; owned by the event loop."""
-
-    open: int = 0
-
-
 class CallerSink:
     """Answers every request of callers."""
 
@@ -47,28 +42,29 @@
         self,
         router: Router,
         state: Callable[[], FrontState],
-        requests: Requests,
+        post: Post,
         count: Callable[[str, str], None],
     ) -> None:
         """Create the sink.
 
         :param state: returns limits and whether the node is stopping
+        :param post: mailbox of the task of the listeners
         :param count: counts an event by its name and a label
         """
         self._router = router
         self._state = state
-        self._requests = requests
+        self._post = post
         self._count = count
 
     async def __call__(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response
     ) -> None:
         """Run one request."""
-        self._requests.open += 1
+        self._post(RequestBegan())
         try:
             await self._run(req, resp)
         finally:
-            self._requests.open -= 1
+            self._post(RequestEnded())
 
     async def _run(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response
--- a/packages/kumquatchuted/src/kumquatchuted/front/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/messages.py
@@ -11,6 +11,16 @@
     """The process was told to stop."""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestBegan:
+    """A caller's request was received."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnded:
+    """A caller's request was answered, or its caller has left."""
+
+
 @dataclass(frozen=True, slots=True)
 class FrontState:
     """What the listeners need to know.
--- a/packages/kumquatchuted/src/kumquatchuted/front/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/task.py
@@ -6,8 +6,9 @@
 
 from logbook import Logger
 
-from kumquatchuted.front.app import Requests
 from kumquatchuted.front.messages import FrontState
+from kumquatchuted.front.messages import RequestBegan
+from kumquatchuted.front.messages import RequestEnded
 from kumquatchuted.front.messages import StopRequested
 from kumquatchuted.gateway.settings import SettingsChanged
 from kumquatchuted.mailbox import Mailbox
@@ -33,7 +34,6 @@
 
     def __init__(
         self,
-        requests: Requests,
         grace_s: float,
         close: Callable[[], None],
         stop: Callable[[], None],
@@ -41,14 +41,13 @@
     ) -> None:
         """Create the task.
 
-        :param requests: requests under way
         :param grace_s: time between the stop signal and the kill
         :param close: closes the listeners
         :param stop: called once, when the process is to end
         """
         self.mailbox = Mailbox()
         self._state = FrontState(None, DEFAULT_LIMITS, False, False)
-        self._requests = requests
+        self._open = 0
         self._grace_s = grace_s
         self._close = close
         self._stop = stop
@@ -69,6 +68,10 @@
 
     def _handle(self, message: object) -> None:
         match message:
+            case RequestBegan():
+                self._open += 1
+            case RequestEnded():
+                self._open -= 1
             case ManifestChanged(manifest=manifest):
                 self._state = replace(
                     self._state,
@@ -81,7 +84,7 @@
             case SettingsChanged(cfg=cfg):
                 self._grace_s = cfg.limits.grace_s
             case StopRequested() if not self._state.is_stopping:
-                log.info("stop requested open={}", self._requests.open)
+                log.info("stop requested open={}", self._open)
                 self._state = replace(self._state, is_stopping=True)
                 self._stopping = asyncio.ensure_future(self._drain())
 
@@ -90,10 +93,10 @@
         started = self._clock()
         last = started + self._grace_s - KILL_RESERVE_S
         while self._clock() < last and (
-            self._requests.open or self._clock() < started + BALANCER_S
+            self._open or self._clock() < started + BALANCER_S
         ):
             await asyncio.sleep(POLL_S)
-        log.info("stopped open={}", self._requests.open)
+        log.info("stopped open={}", self._open)
         self._close()
         # Lets the last bytes and the closing of connections leave.
         await asyncio.sleep(POLL_S)
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -10,7 +10,6 @@
 from kumquatchuted.front.app import CallerSink
 from kumquatchuted.front.app import operations_app
 from kumquatchuted.front.app import peer_app
-from kumquatchuted.front.app import Requests
 from kumquatchuted.front.listener import Listener
 from kumquatchuted.front.messages import StopRequested
 from kumquatchuted.front.router import Router
@@ -81,16 +80,13 @@
     clock = asyncio.get_running_loop().time
     rng = random.Random()
     metrics = GatewayMetrics()
-    requests = Requests()
     listeners: list[Listener] = []
 
     def close_listeners() -> None:
         for listener in listeners:
             listener.close()
 
-    front = FrontTask(
-        requests, cfg.limits.grace_s, close_listeners, stop, clock
-    )
+    front = FrontTask(cfg.limits.grace_s, close_listeners, stop, clock)
     partials = PartialsTask(cfg, clock, rng, metrics.count)
     searchers = SearchersTask(
         cfg, clock, rng, metrics.count, partials.mailbox.post
@@ -115,7 +111,7 @@
         clock,
         metrics.observe,
     )
-    sink = CallerSink(router, front.state, requests, metrics.count)
+    sink = CallerSink(router, front.state, front.mailbox.post, metrics.count)
     callers = Listener(caller_app(sink), front.state)
     operations_asgi = operations_app(front.state, metrics.render)
     operations = Listener(operations_asgi, front.state)
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/tests/test_reload.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/tests/test_reload.py
@@ -5,21 +5,8 @@
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchuted.gateway.reload import ReloadTask
-from kumquatchuted.gateway.settings import GatewayLimits
-from kumquatchuted.gateway.settings import GatewaySettings
 from kumquatchuted.gateway.settings import SettingsChanged
-
-CFG = GatewaySettings(
-    node="n1",
-    data_centre="a",
-    callers="10.0.0.1:1",
-    readiness="10.0.0.1:2",
-    metrics=None,
-    peers="10.0.0.1:3",
-    seeds=(),
-    store="10.9.9.9:1",
-    limits=GatewayLimits(3.0, 3.0, 6.0, 0.2, 58, 10, 1.5, 5),
-)
+from kumquatchuted.gateway.tests.example import CFG
 
 
 def test_changed_settings_are_posted_once() -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_fleet.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_fleet.py
@@ -2,8 +2,7 @@
 
 import random
 
-from kumquatchuted.gateway.settings import GatewayLimits
-from kumquatchuted.gateway.settings import GatewaySettings
+from kumquatchuted.gateway.tests.example import CFG
 from kumquatchuted.membership.messages import MembersChanged
 from kumquatchuted.membership.messages import Node
 from kumquatchuted.membership.messages import Searcher
@@ -13,17 +12,6 @@
 from kumquatchuted.searchers.fleet import Fleet
 
 ROUTE = Route("r", "h", "/", True, 1.0, 0.1, 0, 2, OneService("s"))
-CFG = GatewaySettings(
-    node="n1",
-    data_centre="a",
-    callers="10.0.0.1:1",
-    readiness="10.0.0.1:2",
-    metrics=None,
-    peers="10.0.0.1:3",
-    seeds=(),
-    store="10.9.9.9:1",
-    limits=GatewayLimits(3.0, 3.0, 6.0, 0.2, 58, 10, 1.5, 5),
-)
 
 
 def fleet(searchers: int, nodes: int = 4) -> Fleet:
