Use the project's words for data centres out of service

Cause: the last read found the platform's word for it in the membership slice and in the soak. Ruled out: renaming the store's kind, which the adapter must spell so.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
@@ -142,6 +142,18 @@
         entry["address"] = f"127.0.0.1:{self._ports_of[searcher.name]}"
         self.store.put("servers", searcher.name, entry)
 
+    def take_out(self, data_centre: str) -> None:
+        """Take a data centre out of service, as operators do."""
+        self.store.put("evacuations", data_centre, {})
+
+    def take_in(self, data_centre: str) -> None:
+        """Return a data centre to service."""
+        self.store.remove("evacuations", data_centre)
+
+    def is_any_out(self) -> bool:
+        """Return whether a data centre is out of service."""
+        return bool(self.store.names("evacuations"))
+
     def publish(self, shards: tuple[str, ...] | None = None) -> None:
         """Write the next version of the manifest."""
         self.version += 2
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
@@ -214,16 +214,16 @@
 
     async def _evacuate(self, data_centre: str, for_s: float) -> None:
         site = self._site
-        if site.store.names("evacuations"):
+        if site.is_any_out():
             return
         gone = {absence.searcher for absence in self._absences}
         if any(item.name in gone for item in site.searchers):
             return
-        site.store.put("evacuations", data_centre, {})
+        site.take_out(data_centre)
         since = asyncio.get_running_loop().time()
         await asyncio.sleep(for_s)
         until = asyncio.get_running_loop().time()
-        site.store.remove("evacuations", data_centre)
+        site.take_in(data_centre)
         self._absences += [
             checks.Absence(item.name, since, until)
             for item in site.searchers
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -38,7 +38,7 @@
 READERS = {
     Topic.MANIFEST: MANIFEST_READER,
     Topic.SEARCHERS: SEARCHER_READER,
-    Topic.EVACUATIONS: EVACUATION_READER,
+    Topic.OUT_OF_SERVICE: EVACUATION_READER,
     Topic.NODES: NODE_READER,
 }
 
--- a/packages/kumquatchuted/src/kumquatchuted/membership/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/messages.py
@@ -61,7 +61,7 @@
 
     MANIFEST = "manifest"
     SEARCHERS = "searchers"
-    EVACUATIONS = "evacuations"
+    OUT_OF_SERVICE = "out_of_service"
     NODES = "nodes"
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/membership/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/task.py
@@ -34,7 +34,7 @@
 
 
 class MembershipTask:
-    """Owns the registry, the manifest and the evacuations."""
+    """Owns the registry, the manifest and what is out of service."""
 
     def __init__(
         self,
@@ -109,9 +109,9 @@
                 self._read_manifests(objects, 0.0)
             case TopicChanged(topic=Topic.MANIFEST, written=written):
                 self._read_manifests(written, self._cfg.limits.apply_s)
-            case TopicListed(topic=Topic.EVACUATIONS, objects=objects):
+            case TopicListed(topic=Topic.OUT_OF_SERVICE, objects=objects):
                 self._evacuate(frozenset(item.name for item in objects))
-            case TopicChanged(topic=Topic.EVACUATIONS) as change:
+            case TopicChanged(topic=Topic.OUT_OF_SERVICE) as change:
                 names = {item.name for item in change.written}
                 self._evacuate((self._evacuated | names) - set(change.removed))
             case TopicListed(topic=Topic.NODES, objects=objects):
