Speak the platform's published store form with one client

One transport now makes all calls and one module decodes the published documents. ObjectStore meets the store interface on them, ObjectClient reads topics from the store or a node, and the entry of a node is written through the store interface. One stand-in serves both: conditional writes, listings by page, watches as long polls, 410, 429, lost answers, writes carried out late, odd entries, and a history that is dropped early.

Differences that the published form brings: - Pages of a listing show the store at different times. ObjectStore reads the changes after the first page, so that a list is still of one version. - A namespace is a prefix of the kinds; there is no token of the store, so the setting platform.token_file and its test go. - A searcher has one entry under its name, in place of slices that could list it twice. The merge of two slices and its test go; a leaver is remembered by its name and its time of start.

Ruled out: keeping 503 as proof that nothing was done, as the platform's page allows. A write answered by 503 stays unknown, as the test demands.

Tests moved to the new form check the same or more: pages of one version, late writes, foreign entries, namespaces, silenced watches, no event for a write that changes nothing.

--- a/packages/kumquatchute-model/src/kumquatchute_model/settings.py
+++ b/packages/kumquatchute-model/src/kumquatchute_model/settings.py
@@ -18,6 +18,7 @@
 
 Name = Annotated[str, Label()]
 BindAddress = Annotated[str, SocketAddress()]
+OptionalName = Annotated[str | None, Label()]
 OptionalFile = Annotated[str | None, FilePath()]
 Milliseconds = Annotated[int, Amount("milliseconds", 1, MAX_DEADLINE_MS)]
 
@@ -58,11 +59,14 @@
 
 @dataclass(frozen=True)
 class PlatformSettings:
-    """Where the platform's object API is."""
+    """Where the platform's object store is.
+
+    :param namespace: prefix of the kinds of all objects, for several
+        installations on one store; None for kinds without a prefix
+    """
 
     url: Annotated[str, HttpUrl()]
-    namespace: Name = "search"
-    token_file: OptionalFile = None
+    namespace: OptionalName = None
     timeout_ms: Milliseconds = 1000
 
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/faults.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/faults.py
@@ -5,9 +5,11 @@
 
 from kumquatchute_standins.platform.controls import ClearFaults
 from kumquatchute_standins.platform.controls import DownMode
+from kumquatchute_standins.platform.controls import ExecuteLate
 from kumquatchute_standins.platform.controls import Fault
 from kumquatchute_standins.platform.controls import LoseAnswers
 from kumquatchute_standins.platform.controls import ServeOlder
+from kumquatchute_standins.platform.controls import SetDeaf
 from kumquatchute_standins.platform.controls import SetDelay
 from kumquatchute_standins.platform.controls import SetDown
 from kumquatchute_standins.platform.controls import SetEndpointLag
@@ -33,12 +35,16 @@
     """All faults that are set.
 
     :param lose: number of answers to writes that are still to be lost
+    :param late: writes that are still to be carried out late
+    :param deaf: whether new watches are never answered
     """
 
     down: DownMode | None = None
     delay_s: float = 0.0
     lose: int = 0
     loss: Loss = Loss.RESET
+    late: ExecuteLate = ExecuteLate(0)
+    deaf: bool = False
     endpoint_lag_s: float = 0.0
     older: ServeOlder = ServeOlder()
     reads: Bucket = Bucket()
@@ -57,6 +63,10 @@
             return replace(faults, delay_s=delay_ms / 1000)
         case LoseAnswers(count=count, loss=loss):
             return replace(faults, lose=count, loss=loss)
+        case ExecuteLate():
+            return replace(faults, late=fault)
+        case SetDeaf():
+            return replace(faults, deaf=True)
         case SetEndpointLag(lag_s=lag_s):
             return replace(faults, endpoint_lag_s=lag_s)
         case ServeOlder():
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/__main__.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/__main__.py
@@ -12,13 +12,14 @@
 import aiohttp
 import typer
 
+from kumquatchute_standins.platform.controls import ClearFaults
+from kumquatchute_standins.platform.controls import SetDown
 from kumquatchute_standins.platform.fleet.callers import call
 from kumquatchute_standins.platform.fleet.callers import Seen
 from kumquatchute_standins.platform.fleet.callers import steady
 from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
 from kumquatchute_standins.platform.fleet.site import FleetSite
 from kumquatchute_standins.platform.fleet.site import Shape
-from kumquatchute_standins.platform.fleet.store import StoreFaults
 
 PER_S = 40.0
 STEP_S = 3.0
@@ -49,11 +50,11 @@
 
 
 def _store_down(site: FleetSite) -> None:
-    site.store.faults = StoreFaults(refuse_status=503)
+    site.store.disturb(SetDown())
 
 
 def _store_up(site: FleetSite) -> None:
-    site.store.faults = StoreFaults()
+    site.store.disturb(ClearFaults())
 
 
 def _silence_shard(site: FleetSite) -> None:
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
@@ -13,11 +13,15 @@
 from kumquatchute_standins.platform.fleet.proxy import Proxy
 from kumquatchute_standins.platform.fleet.searcher import Arrival
 from kumquatchute_standins.platform.fleet.searcher import SearcherStandIn
-from kumquatchute_standins.platform.fleet.store import StoreStandIn
+from kumquatchute_standins.platform.server import PlatformServer
+from kumquatchute_standins.platform.table import Table
 from kumquatchute_standins.ports import free_ports
 
 HOST = "search.example"
 READY_TIMEOUT_S = 25.0
+# Smaller than the number of searchers of larger shapes, so that nodes read
+# more than one page.
+PAGE_OBJECTS = 50
 PORTS_PER_NODE = 4
 TOP = 5
 
@@ -94,7 +98,8 @@
             count *= 2
         ports = iter(free_ports(count))
         store_port = next(ports)
-        self.store = StoreStandIn(f"127.0.0.1:{store_port}")
+        self._store_address = f"127.0.0.1:{store_port}"
+        self.store = PlatformServer(Table(PAGE_OBJECTS))
         self.searchers = self._make_searchers(ports)
         self.links: list[Proxy] = []
         stores = [
@@ -109,7 +114,7 @@
 
     async def __aenter__(self) -> "FleetSite":
         """Start everything and wait until all nodes are ready."""
-        await self.store.start()
+        await self.store.start(self._store_address)
         for searcher in self.searchers:
             await searcher.start()
             self.put_searcher(searcher)
@@ -150,9 +155,9 @@
         """Return a data centre to service."""
         self.store.remove("evacuations", data_centre)
 
-    def is_any_out(self) -> bool:
+    async def is_any_out(self) -> bool:
         """Return whether a data centre is out of service."""
-        return bool(self.store.names("evacuations"))
+        return bool(await self.store.names("evacuations"))
 
     def publish(self, shards: tuple[str, ...] | None = None) -> None:
         """Write the next version of the manifest."""
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/responses.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/responses.py
@@ -2,15 +2,15 @@
 
 from aiohttp import web
 
-from kumquatchute_standins.platform.codec import encode_status
+from kumquatchute_standins.platform.codec import encode_error
 from kumquatchute_standins.platform.messages import StatusError
 
 JSON = "application/json"
 
 
 def status_response(error: StatusError) -> web.Response:
-    """Answer with an error as the API states it."""
-    resp = json_response(error.code, encode_status(error))
+    """Answer with an error as the store states it."""
+    resp = json_response(error.code, encode_error(error))
     if error.retry_after_s is not None:
         resp.headers["Retry-After"] = str(error.retry_after_s)
     return resp
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/fleet.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 from pathlib import Path
+import time
 
 from aiohttp import web
 import msgspec
@@ -45,6 +46,8 @@
         self._publisher = Publisher(cfg.platform) if cfg.platform else None
         self._control_runner: web.AppRunner | None = None
         self.searchers: dict[str, SearcherServer] = {}
+        # Last incarnation of each searcher and its time of start.
+        self._starts: dict[str, tuple[str, int]] = {}
         for profile in cfg.searchers:
             data = self._indexes.get(
                 profile.service, IndexData(profile.service)
@@ -92,7 +95,7 @@
             await self.searchers[name].control(control)
             match control:
                 case SetDraining(draining=draining):
-                    await self._publish(name, terminating=draining)
+                    await self._publish(name, draining)
                 case Restart() | SetUp(up=True):
                     await self._publish(name)
 
@@ -130,7 +133,7 @@
             await self._publisher.publish_index(index)
 
     async def withdraw(self, name: str) -> None:
-        """Delete the EndpointSlice of a searcher."""
+        """Delete the entry of a searcher."""
         if self._publisher is not None:
             await self._publisher.remove_searcher(self.searchers[name].profile)
 
@@ -138,7 +141,7 @@
         """Return what a searcher recorded."""
         return await self.searchers[name].records()
 
-    async def _publish(self, name: str, terminating: bool = False) -> None:
+    async def _publish(self, name: str, draining: bool = False) -> None:
         if self._publisher is None:
             return
         searcher = self.searchers[name]
@@ -146,10 +149,18 @@
         await self._publisher.publish_searcher(
             searcher.profile,
             searcher.address,
-            state.incarnation,
-            terminating,
+            self._born(name, state.incarnation),
+            draining,
         )
 
+    def _born(self, name: str, incarnation: str) -> int:
+        """Return a time of start, a later one for each incarnation."""
+        known, born = self._starts.get(name, ("", 0))
+        if known != incarnation:
+            born = max(born + 1, int(time.time() * 1000))
+            self._starts[name] = (incarnation, born)
+        return born
+
     async def _start_control(self, control: str) -> None:
         app = web.Application()
         app.router.add_post("/control", self._on_control)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 
+from kumquatchute_standins.platform.controls import ClearFaults
+from kumquatchute_standins.platform.controls import DropHistory
 from kumquatchute_standins.platform.fleet.callers import call
 from kumquatchute_standins.platform.fleet.callers import Seen
 from kumquatchute_standins.platform.fleet.proxy import LinkFaults
@@ -14,7 +16,6 @@
 from kumquatchute_standins.platform.fleet.site import FleetSite
 from kumquatchute_standins.platform.fleet.site import NodePlace
 from kumquatchute_standins.platform.fleet.site import Shape
-from kumquatchute_standins.platform.fleet.store import StoreFaults
 from kumquatchute_standins.soak import checks
 from kumquatchute_standins.soak import plan as pl
 
@@ -141,12 +142,12 @@
     async def _disturb(self, step: pl.Step) -> None:
         site = self._site
         match step.what:
-            case pl.DisturbStore(faults=faults):
-                site.store.faults = faults
+            case pl.DisturbStore(fault=fault):
+                site.store.disturb(fault)
                 await asyncio.sleep(step.for_s)
-                site.store.faults = StoreFaults()
+                site.store.disturb(ClearFaults())
             case pl.DropHistory():
-                site.store.drop_history()
+                site.store.disturb(DropHistory())
             case pl.DisturbLink(link=link, faults=faults):
                 site.links[link].faults = faults
                 await asyncio.sleep(step.for_s)
@@ -214,7 +215,7 @@
 
     async def _evacuate(self, data_centre: str, for_s: float) -> None:
         site = self._site
-        if site.is_any_out():
+        if await site.is_any_out():
             return
         gone = {absence.searcher for absence in self._absences}
         if any(item.name in gone for item in site.searchers):
--- a/packages/kumquatchuted/src/kumquatchuted/catalog/events.py
+++ b/packages/kumquatchuted/src/kumquatchuted/catalog/events.py
@@ -7,22 +7,19 @@
 
 
 @dataclass(frozen=True)
-class Endpoint:
-    """A searcher as one EndpointSlice lists it.
+class Entry:
+    """A searcher as its entry in the store describes it.
 
-    :param uid: identifier of this start of the searcher, empty if unknown
+    :param started: Unix time of its start in milliseconds, None if unknown
     """
 
     searcher: Searcher
-    uid: str = ""
+    started: int | None = None
 
-
-@dataclass(frozen=True)
-class Slice:
-    """An EndpointSlice; it lists some searchers of one service."""
-
-    name: str
-    endpoints: tuple[Endpoint, ...] = ()
+    @property
+    def start(self) -> tuple[str, int | None]:
+        """Return what names this start of the searcher."""
+        return self.searcher.name, self.started
 
 
 @dataclass(frozen=True)
@@ -33,27 +30,27 @@
 
 
 @dataclass(frozen=True)
-class SlicesListed:
-    """All slices, as a list shows them."""
+class EntriesListed:
+    """All entries, as a list shows them."""
 
-    slices: tuple[Slice, ...]
+    entries: tuple[Entry, ...]
 
 
 @dataclass(frozen=True)
-class SliceSeen:
-    """A slice was created or changed."""
+class EntrySeen:
+    """An entry was created or changed."""
 
-    slice: Slice
+    entry: Entry
 
 
 @dataclass(frozen=True)
-class SliceGone:
-    """A slice was deleted."""
+class EntryGone:
+    """An entry was deleted."""
 
     name: str
 
 
-Event = MapSeen | SlicesListed | SliceSeen | SliceGone
+Event = MapSeen | EntriesListed | EntrySeen | EntryGone
 
 
 @dataclass(frozen=True)
--- a/packages/kumquatchuted/src/kumquatchuted/catalog/state.py
+++ b/packages/kumquatchuted/src/kumquatchuted/catalog/state.py
@@ -10,7 +10,10 @@
 
 from kumquatchute_model.shards import Searcher
 from kumquatchute_model.shards import ShardMap
-from kumquatchuted.catalog.events import Endpoint
+from kumquatchuted.catalog.events import EntriesListed
+from kumquatchuted.catalog.events import Entry
+from kumquatchuted.catalog.events import EntryGone
+from kumquatchuted.catalog.events import EntrySeen
 from kumquatchuted.catalog.events import Event
 from kumquatchuted.catalog.events import LossApplied
 from kumquatchuted.catalog.events import LossDeferred
@@ -19,10 +22,6 @@
 from kumquatchuted.catalog.events import MapSeen
 from kumquatchuted.catalog.events import Note
 from kumquatchuted.catalog.events import SearcherLeaving
-from kumquatchuted.catalog.events import Slice
-from kumquatchuted.catalog.events import SliceGone
-from kumquatchuted.catalog.events import SliceSeen
-from kumquatchuted.catalog.events import SlicesListed
 from kumquatchuted.catalog.messages import Catalog
 from kumquatchuted.catalog.messages import EMPTY
 
@@ -49,19 +48,21 @@
 class CatalogState:
     """What the platform listed, and the catalog that follows from it.
 
-    :param slices: newest slices by name
-    :param listed: searchers in ``slices`` by name
+    :param entries: newest entries by name of the searcher
+    :param listed: searchers in ``entries`` by name
     :param missing: searchers that are no longer listed, by name
-    :param seen_leaving: uids listed as leaving, with the last such time
+    :param seen_leaving: starts listed as leaving, with the last such time
     :param deferred: services whose missing searchers stay in the catalog
     """
 
-    slices: Mapping[str, Slice] = field(default_factory=lambda: EMPTY)
+    entries: Mapping[str, Entry] = field(default_factory=lambda: EMPTY)
     listed: Mapping[str, Searcher] = field(default_factory=lambda: EMPTY)
     missing: Mapping[str, MissingSearcher] = field(
         default_factory=lambda: EMPTY
     )
-    seen_leaving: Mapping[str, float] = field(default_factory=lambda: EMPTY)
+    seen_leaving: Mapping[tuple[str, int], float] = field(
+        default_factory=lambda: EMPTY
+    )
     deferred: frozenset[str] = frozenset()
     catalog: Catalog = Catalog()
 
@@ -80,24 +81,24 @@
     :param now: monotonic time in seconds
     """
     maps = dict(state.catalog.maps)
-    slices = dict(state.slices)
+    entries = dict(state.entries)
     notes: list[Note] = []
     for event in events:
         match event:
             case MapSeen(shard_map=shard_map):
                 notes.extend(_apply_map(maps, shard_map))
-            case SlicesListed(slices=listed):
-                slices = {slice_.name: slice_ for slice_ in listed}
-            case SliceSeen(slice=slice_):
-                slices[slice_.name] = slice_
-            case SliceGone(name=name):
-                slices.pop(name, None)
+            case EntriesListed(entries=listed):
+                entries = {entry.searcher.name: entry for entry in listed}
+            case EntrySeen(entry=entry):
+                entries[entry.searcher.name] = entry
+            case EntryGone(name=name):
+                entries.pop(name, None)
     state = replace(
         state,
-        slices=MappingProxyType(slices),
+        entries=MappingProxyType(entries),
         catalog=replace(state.catalog, maps=MappingProxyType(maps)),
     )
-    step = _apply_slices(state, now)
+    step = _apply_entries(state, now)
     return Step(step.state, (*notes, *step.notes))
 
 
@@ -122,12 +123,12 @@
     return (MapAccepted(shard_map),)
 
 
-def _apply_slices(state: CatalogState, now: float) -> Step:
-    endpoints = _merge_slices(state.slices.values())
-    seen_leaving = _seen_leaving(state.seen_leaving, endpoints.values(), now)
+def _apply_entries(state: CatalogState, now: float) -> Step:
+    entries = state.entries
+    seen_leaving = _seen_leaving(state.seen_leaving, entries.values(), now)
     listed = {
-        name: _mark_leaving(endpoint, seen_leaving)
-        for name, endpoint in endpoints.items()
+        name: _mark_leaving(entry, seen_leaving)
+        for name, entry in entries.items()
     }
     missing = _missing(state, listed, now)
     deferred = _deferred_services(listed, missing)
@@ -148,42 +149,28 @@
     return Step(fresh, (*_losses(state, fresh), *_leavers(state, fresh)))
 
 
-def _merge_slices(slices: Iterable[Slice]) -> dict[str, Endpoint]:
-    """Return each searcher once; two slices can list it for a time."""
-    merged: dict[str, Endpoint] = {}
-    for slice_ in sorted(slices, key=lambda slice_: slice_.name):
-        for endpoint in slice_.endpoints:
-            name = endpoint.searcher.name
-            other = merged.get(name)
-            if other and other.uid == endpoint.uid:
-                if other.searcher.leaving:
-                    continue
-            merged[name] = endpoint
-    return merged
-
-
 def _seen_leaving(
-    seen_leaving: Mapping[str, float],
-    endpoints: Iterable[Endpoint],
+    seen_leaving: Mapping[tuple[str, int], float],
+    entries: Iterable[Entry],
     now: float,
-) -> dict[str, float]:
+) -> dict[tuple[str, int], float]:
     recent = {
-        uid: at
-        for uid, at in seen_leaving.items()
+        start: at
+        for start, at in seen_leaving.items()
         if now - at < LEAVING_RETENTION_S
     }
-    for endpoint in endpoints:
-        known = endpoint.uid in recent
-        if endpoint.uid and (endpoint.searcher.leaving or known):
-            recent[endpoint.uid] = now
+    for entry in entries:
+        known = entry.start in recent
+        if entry.started is not None and (entry.searcher.leaving or known):
+            recent[entry.start] = now
     return recent
 
 
 def _mark_leaving(
-    endpoint: Endpoint, seen_leaving: Mapping[str, float]
+    entry: Entry, seen_leaving: Mapping[tuple[str, int], float]
 ) -> Searcher:
-    searcher = endpoint.searcher
-    if endpoint.uid in seen_leaving and not searcher.leaving:
+    searcher = entry.searcher
+    if entry.start in seen_leaving and not searcher.leaving:
         return replace(searcher, leaving=True)
     return searcher
 
--- a/packages/kumquatchuted/src/kumquatchuted/catalog/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/catalog/task.py
@@ -12,7 +12,10 @@
 
 from kumquatchute_model.errors import Failure
 from kumquatchuted.catalog.codec import decode_shard_map
-from kumquatchuted.catalog.codec import decode_slice
+from kumquatchuted.catalog.events import EntriesListed
+from kumquatchuted.catalog.events import Entry
+from kumquatchuted.catalog.events import EntryGone
+from kumquatchuted.catalog.events import EntrySeen
 from kumquatchuted.catalog.events import Event
 from kumquatchuted.catalog.events import LossApplied
 from kumquatchuted.catalog.events import LossDeferred
@@ -21,10 +24,6 @@
 from kumquatchuted.catalog.events import MapSeen
 from kumquatchuted.catalog.events import Note
 from kumquatchuted.catalog.events import SearcherLeaving
-from kumquatchuted.catalog.events import Slice
-from kumquatchuted.catalog.events import SliceGone
-from kumquatchuted.catalog.events import SliceSeen
-from kumquatchuted.catalog.events import SlicesListed
 from kumquatchuted.catalog.follower import CollectionListed
 from kumquatchuted.catalog.follower import follow
 from kumquatchuted.catalog.follower import ObjectGone
@@ -35,6 +34,7 @@
 from kumquatchuted.catalog.state import next_deadline
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.mailbox import Post
+from kumquatchuted.platform.decoding import decode_entry
 from kumquatchuted.platform.store import Collection
 from kumquatchuted.platform.store import Store
 from kumquatchuted.platform.store import StoredObject
@@ -71,7 +71,7 @@
     async def run(self) -> None:
         """Follow the platform until cancelled."""
         async with asyncio.TaskGroup() as group:
-            for kind in (Collection.SHARD_MAPS, Collection.ENDPOINTS):
+            for kind in (Collection.SHARD_MAPS, Collection.SEARCHERS):
                 group.create_task(
                     follow(
                         self._store,
@@ -95,7 +95,7 @@
                 messages = [await self.mailbox.get()]
         except TimeoutError:
             return []
-        # A restart of a service changes many slices at once; the catalog is
+        # A restart of a service changes many entries at once; the catalog is
         # worked out once for all of them.
         with suppress(asyncio.QueueEmpty):
             while True:
@@ -125,26 +125,26 @@
                 yield from _map_events(stored)
             case ObjectGone(Collection.SHARD_MAPS, name):
                 log.warning("Catalog: {} was deleted and stays in use.", name)
-            case CollectionListed(Collection.ENDPOINTS, objects):
-                slices = (self._slice(stored) for stored in objects)
-                yield SlicesListed(tuple(found for found in slices if found))
-            case ObjectSeen(Collection.ENDPOINTS, stored):
-                if found := self._slice(stored):
-                    yield SliceSeen(found)
-            case ObjectGone(Collection.ENDPOINTS, name):
-                yield SliceGone(name)
-
-    def _slice(self, stored: StoredObject) -> Slice | None:
-        match decode_slice(stored.body):
+            case CollectionListed(Collection.SEARCHERS, objects):
+                entries = (self._entry(stored) for stored in objects)
+                yield EntriesListed(tuple(found for found in entries if found))
+            case ObjectSeen(Collection.SEARCHERS, stored):
+                if found := self._entry(stored):
+                    yield EntrySeen(found)
+            case ObjectGone(Collection.SEARCHERS, name):
+                yield EntryGone(name)
+
+    def _entry(self, stored: StoredObject) -> Entry | None:
+        match decode_entry(stored.name, stored.body):
             case Failure(reason=reason):
                 log.error(
-                    "Catalog: endpoint slice {} is malformed: {}.",
+                    "Catalog: the entry of searcher {} is malformed: {}.",
                     stored.name,
                     reason,
                 )
-                return self._state.slices.get(stored.name)
-            case slice_:
-                return slice_
+                return self._state.entries.get(stored.name)
+            case entry:
+                return entry
 
 
 def _map_events(stored: StoredObject) -> Iterator[Event]:
--- a/packages/kumquatchuted/src/kumquatchuted/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/compose.py
@@ -41,7 +41,7 @@
 from kumquatchuted.placement.ownership import may_start
 from kumquatchuted.placement.ownership import owner
 from kumquatchuted.placement.task import PlacementTask
-from kumquatchuted.platform.client import KubernetesStore
+from kumquatchuted.platform.client import ObjectStore
 from kumquatchuted.platform.store import Store
 from kumquatchuted.search.measure import record_query
 from kumquatchuted.search.task import SearchTask
@@ -174,7 +174,7 @@
     edges: Edges, keys: PeerKeys | None, stopped: Callable[[], None]
 ) -> Node:
     cfg, bus, clock = edges.cfg, edges.bus, edges.clock
-    stores = tuple(KubernetesStore(cfg.platform) for _ in range(4))
+    stores = tuple(ObjectStore(cfg.platform) for _ in range(4))
     catalog_store, ticket_store, placement_store, submission_store = stores
     catalog = CatalogTask(catalog_store, (bus.post,), clock)
     tickets = TicketTask(
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -6,6 +6,7 @@
 import random
 
 from kumquatchute_model.errors import Failure
+from kumquatchute_model.settings import PlatformSettings
 from kumquatchuted.front.app import caller_app
 from kumquatchuted.front.app import CallerSink
 from kumquatchuted.front.app import operations_app
@@ -20,12 +21,12 @@
 from kumquatchuted.membership.follower import Follower
 from kumquatchuted.membership.messages import Node
 from kumquatchuted.membership.messages import Topic
-from kumquatchuted.membership.sources import Source
 from kumquatchuted.membership.task import MembershipTask
 from kumquatchuted.partials.messages import PartialAnswer
 from kumquatchuted.partials.messages import PartialRequest
 from kumquatchuted.partials.serving import gather_part
 from kumquatchuted.partials.task import PartialsTask
+from kumquatchuted.platform.client import ObjectStore
 from kumquatchuted.platform.decoding import EVACUATION_READER
 from kumquatchuted.platform.decoding import MANIFEST_READER
 from kumquatchuted.platform.decoding import NODE_READER
@@ -33,6 +34,7 @@
 from kumquatchuted.platform.objects import ObjectClient
 from kumquatchuted.platform.objects import register_node
 from kumquatchuted.platform.relay import Relay
+from kumquatchuted.platform.transport import Transport
 from kumquatchuted.searchers.task import SearchersTask
 
 READERS = {
@@ -101,7 +103,8 @@
         clock,
     )
     relay = Relay(clock)
-    client = ObjectClient(relay)
+    transport = Transport()
+    client = ObjectClient(transport, relay)
     followers = _followers(client, membership, rng, clock)
     membership.restarts = tuple(item.restart for item in followers)
     router = Router(
@@ -134,13 +137,13 @@
         return fault
 
     async def close_clients() -> None:
-        await client.close()
+        await transport.close()
         await partials.close()
 
     async def register() -> None:
         node = Node(cfg.node, cfg.peers, cfg.data_centre)
-        store = Source(cfg.store, is_store=True)
-        await register_node(client, store, node, rng)
+        store = ObjectStore(PlatformSettings(f"http://{cfg.store}"), transport)
+        await register_node(store, node, rng)
 
     async def run_forever(once: Callable) -> None:
         await once()
--- a/packages/kumquatchuted/src/kumquatchuted/platform/outcomes.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/outcomes.py
@@ -40,7 +40,6 @@
     """The platform answered with an error."""
 
     status: int
-    message: str
 
 
 Fault = NotSent | NoAnswer | Answered
@@ -49,10 +48,11 @@
 def read_failure(fault: Fault) -> Failure:
     """Return the failure of a read, which never has an effect."""
     match fault:
-        case Answered(status=404, message=message):
-            return Failure(ErrorKind.NOT_FOUND, _short(message), not_run=True)
-        case Answered(status=status, message=message):
-            reason = f"the platform answered {status}: {message}"
+        case Answered(status=404):
+            reason = "the platform holds no such object"
+            return Failure(ErrorKind.NOT_FOUND, reason, not_run=True)
+        case Answered(status=status):
+            reason = f"the platform answered {status}"
         case NotSent(reason=reason) | NoAnswer(reason=reason):
             pass
     return Failure(ErrorKind.UNAVAILABLE, _short(reason), not_run=True)
@@ -73,11 +73,11 @@
             return Failure(ErrorKind.OUTCOME_UNKNOWN, _short(reason))
         case Answered(status=409):
             return Conflict(name)
-        case Answered(status=status, message=message) if status in REFUSALS:
-            reason = f"the platform refused {name} with {status}: {message}"
+        case Answered(status=status) if status in REFUSALS:
+            reason = f"the platform refused {name} with {status}"
             return Failure(REFUSALS[status], _short(reason), not_run=True)
-        case Answered(status=status, message=message):
-            reason = f"the platform answered {status}: {message}"
+        case Answered(status=status):
+            reason = f"the platform answered {status}"
             return Failure(ErrorKind.OUTCOME_UNKNOWN, _short(reason))
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/platform/store.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/store.py
@@ -17,7 +17,8 @@
     LEASES = "nodeleases"
     SUBMISSIONS = "submissions"
     SHARD_MAPS = "shardmaps"
-    ENDPOINTS = "endpointslices"
+    SEARCHERS = "servers"
+    NODES = "querynodes"
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/transport.py
@@ -0,0 +1,146 @@
+"""Calls to the platform's object store over HTTP/1.1."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import aiohttp
+
+from kumquatchuted.platform.outcomes import Fault
+from kumquatchuted.platform.outcomes import NoAnswer
+from kumquatchuted.platform.outcomes import NotSent
+from kumquatchuted.platform.sockets import keep_alive_socket
+
+# A listing holds about 1 MB; the margin covers a store that pages otherwise.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# aiohttp rounds longer time limits up to whole seconds unless told otherwise.
+NO_CEILING_S = 1e9
+
+# A closed session raises RuntimeError. TimeoutError is an OSError.
+CALL_ERRORS = (aiohttp.ClientError, OSError, RuntimeError)
+
+
+@dataclass(frozen=True)
+class Request:
+    """One call.
+
+    :param timeout_s: time for the whole call in seconds
+    :param connect_s: time in which the connection is made, in seconds
+    """
+
+    method: str
+    url: str
+    timeout_s: float
+    connect_s: float
+    query: Mapping[str, str]
+    body: bytes | None = None
+
+
+@dataclass(frozen=True)
+class Response:
+    """A complete answer, whatever its status."""
+
+    status: int
+    body: bytes
+
+
+class LostAnswerError(aiohttp.ClientError):
+    """The connection failed; of a class that aiohttp does not retry on."""
+
+
+class TooLongError(aiohttp.ClientError):
+    """The answer is longer than the limit."""
+
+
+class Transport:
+    """Owns the connections to the store; returns faults, never raises.
+
+    Each call uses a new connection. One that was idle can have gone silent:
+    a write that is lost on it has an unknown outcome, and a read on it costs
+    the seconds in which a change must take effect.
+    """
+
+    def __init__(self) -> None:
+        """Create a transport; the session is opened on first use."""
+        self._session: aiohttp.ClientSession | None = None
+
+    async def call(self, req: Request) -> Response | Fault:
+        """Make a call and read the whole answer."""
+        headers = {"Accept": "application/json"}
+        if req.body is not None:
+            headers["Content-Type"] = "application/json"
+        try:
+            async with self._open().request(
+                req.method,
+                req.url,
+                params=req.query,
+                data=req.body,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(
+                    total=req.timeout_s,
+                    connect=req.connect_s,
+                    ceil_threshold=NO_CEILING_S,
+                ),
+                allow_redirects=False,
+                middlewares=() if req.method == "GET" else (_without_retry,),
+            ) as resp:
+                return Response(resp.status, await _read_body(resp))
+        except CALL_ERRORS as exc:
+            return _fault_of(exc)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=0,
+                    force_close=True,
+                    socket_factory=keep_alive_socket,
+                ),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+            )
+        return self._session
+
+
+async def _without_retry(
+    req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending a PUT or DELETE again.
+
+    The second one would meet its own effect and report a conflict.
+    """
+    try:
+        return await handler(req)
+    except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        raise LostAnswerError(type(exc).__name__) from exc
+
+
+def _fault_of(exc: Exception) -> Fault:
+    match exc:
+        case aiohttp.ClientConnectorError():
+            return NotSent("the store refused the connection")
+        case aiohttp.ConnectionTimeoutError():
+            return NotSent("no connection to the store in time")
+        case aiohttp.InvalidURL():
+            return NotSent("the store's address is invalid")
+        case TimeoutError():
+            return NoAnswer("no answer from the store in time")
+        case _:
+            name = type(exc).__name__
+            return NoAnswer(f"connection to the store failed: {name}")
+
+
+async def _read_body(resp: aiohttp.ClientResponse) -> bytes:
+    body = bytearray()
+    async for chunk in resp.content.iter_any():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            resp.close()
+            raise TooLongError
+    return bytes(body)
--- a/packages/kumquatchuted/src/kumquatchuted/platform/wire.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/wire.py
@@ -1,240 +1,134 @@
-"""JSON documents of the platform's API.
+"""JSON documents of the platform's object store.
 
-An object of our own kinds is ``{apiVersion:
-search.kumquatchute.example/v1, kind, metadata: {name, namespace,
-resourceVersion}, spec}``; the body of a ``StoredObject`` is its ``spec``.
-An EndpointSlice belongs to the platform, and the body is the whole object.
-
-A list is ``{metadata: {resourceVersion, continue}, items: [objects]}``. A
-watch is a stream of lines ``{type, object}`` with the types ADDED, MODIFIED,
-DELETED, BOOKMARK, whose object has only a version, and ERROR, whose object is
-a Status. An error is a Status ``{reason, message, code}``.
+An object is ``{meta: {name, revision}, spec}`` with more fields that are not
+read. A listing is ``{items: [objects], hasMore, asOf}``, the answer of a
+watch ``{events: [{object, removed}], asOf}``.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 
-from kumquatchuted.platform.store import Collection
-from kumquatchuted.platform.store import ObjectDeleted
-from kumquatchuted.platform.store import StoredObject
-
-CUSTOM_GROUP = "search.kumquatchute.example"
-DISCOVERY_GROUP = "discovery.k8s.io"
-KINDS = {
-    Collection.TICKETS: "Ticket",
-    Collection.VIEWS: "View",
-    Collection.MEMBERSHIPS: "Membership",
-    Collection.LEASES: "NodeLease",
-    Collection.SUBMISSIONS: "Submission",
-    Collection.SHARD_MAPS: "ShardMap",
-    Collection.ENDPOINTS: "EndpointSlice",
-}
-
-
-class WireMeta(msgspec.Struct, frozen=True, rename="camel"):
-    """The part of ``metadata`` that is read."""
-
-    name: str = ""
-    resource_version: str = ""
-
-
-class WireObject(msgspec.Struct, frozen=True):
-    """An object with its spec left undecoded."""
-
-    metadata: WireMeta
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class WireListMeta(msgspec.Struct, frozen=True, rename="camel"):
-    """The part of a list's ``metadata`` that is read."""
-
-    resource_version: str
-    continue_: str = msgspec.field(default="", name="continue")
-
-
-class WireList(msgspec.Struct, frozen=True):
-    """One page of a list."""
-
-    metadata: WireListMeta
-    items: list[msgspec.Raw]
-
-
-class WireEvent(msgspec.Struct, frozen=True):
-    """One line of a watch."""
+MALFORMED = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
-    type: str
-    object: msgspec.Raw
-
-
-class WireStatus(msgspec.Struct, frozen=True):
-    """An error."""
-
-    reason: str = ""
-    message: str = ""
-    code: int = 0
 
+@dataclass(frozen=True)
+class Item:
+    """An object of the store.
 
-class WireNewMeta(
-    msgspec.Struct, frozen=True, rename="camel", omit_defaults=True
-):
-    """The ``metadata`` of a create or update."""
+    :param revision: revision of its last change
+    :param content: the whole object, never changed in place
+    """
 
     name: str
-    namespace: str
-    resource_version: str = ""
-
+    revision: int
+    content: Mapping[str, Any]
 
-class WireNewObject(msgspec.Struct, frozen=True, rename="camel"):
-    """Body of a create or update."""
-
-    api_version: str
-    kind: str
-    metadata: WireNewMeta
-    spec: msgspec.Raw
+    @property
+    def spec(self) -> Any:
+        """Return what the writer of the object stored."""
+        return self.content.get("spec")
 
 
 @dataclass(frozen=True)
 class Page:
-    """One page of a list.
+    """Part of a listing.
 
-    :param token: value of ``continue`` for the next page, empty at the end
+    :param revision: the store's revision when the page was read
+    :param has_more: whether further objects follow the last one by name
     """
 
-    version: str
-    objects: tuple[StoredObject, ...]
-    token: str
+    items: tuple[Item, ...]
+    revision: int
+    has_more: bool
 
 
 @dataclass(frozen=True)
-class Bookmark:
-    """The watch is complete up to a version."""
+class Event:
+    """A change of an object; ``item`` is its last state if removed."""
 
-    version: str
+    item: Item
+    removed: bool
 
 
 @dataclass(frozen=True)
-class Changed:
-    """A watched object changed.
+class Events:
+    """Answer of a watch.
 
-    :param version: version from which the watch can be continued
+    :param revision: revision from which the watch continues
     """
 
-    event: StoredObject | ObjectDeleted
-    version: str
+    events: tuple[Event, ...]
+    revision: int
 
 
-@dataclass(frozen=True)
-class StatusError:
-    """An error that the platform states.
+class _Page(msgspec.Struct, rename="camel"):
+    items: list[Any]
+    as_of: int
+    has_more: bool = False
 
-    :param code: HTTP status
-    """
-
-    code: int
-    reason: str
-    message: str
-
-
-Line = Changed | Bookmark | StatusError
 
-Malformed = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+class _Events(msgspec.Struct, rename="camel"):
+    events: list[Any]
+    as_of: int
 
 
-def collection_path(kind: Collection, namespace: str) -> str:
-    """Return the path of a collection."""
-    own = kind is not Collection.ENDPOINTS
-    group = CUSTOM_GROUP if own else DISCOVERY_GROUP
-    return f"/apis/{group}/v1/namespaces/{namespace}/{kind.value}"
+def encode_object(name: str, spec: bytes, revision: int | None) -> bytes:
+    """Encode the body of a creation or replacement.
 
+    :param spec: JSON document
+    :param revision: required revision, None for any
+    """
+    meta: dict[str, Any] = {"name": name}
+    if revision is not None:
+        meta["revision"] = revision
+    return msgspec.json.encode({"meta": meta, "spec": msgspec.Raw(spec)})
 
-def encode_object(
-    kind: Collection, namespace: str, name: str, spec: bytes, version: str
-) -> bytes:
-    """Encode the body of a create or update.
 
-    :param version: required version, empty for a create
-    """
-    return msgspec.json.encode(
-        WireNewObject(
-            f"{CUSTOM_GROUP}/v1",
-            KINDS[kind],
-            WireNewMeta(name, namespace, version),
-            msgspec.Raw(spec),
-        )
-    )
-
-
-def encode_delete(version: str) -> bytes:
-    """Encode the body of a conditional delete."""
-    return msgspec.json.encode(
-        {
-            "apiVersion": "v1",
-            "kind": "DeleteOptions",
-            "preconditions": {"resourceVersion": version},
-        }
-    )
-
-
-def decode_object(kind: Collection, raw: bytes) -> StoredObject:
+def decode_object(body: bytes) -> Item:
     """Decode an object.
 
-    :raises msgspec.DecodeError: it is no object of the API
+    :raises msgspec.DecodeError: it has no name or no revision
     """
-    wire = msgspec.json.decode(raw, type=WireObject)
-    if not wire.metadata.name or not wire.metadata.resource_version:
-        raise msgspec.ValidationError("object without name or version")
-    own = kind is not Collection.ENDPOINTS
-    return StoredObject(
-        wire.metadata.name,
-        wire.metadata.resource_version,
-        bytes(wire.spec if own else raw),
-    )
+    item = _item(msgspec.json.decode(body))
+    if item is None:
+        raise msgspec.ValidationError("object without name or revision")
+    return item
 
 
-def decode_page(kind: Collection, raw: bytes) -> Page:
-    """Decode one page of a list.
+def decode_page(body: bytes) -> Page:
+    """Decode a part of a listing; objects without a name are left out.
 
-    :raises msgspec.DecodeError: it is no list of the API
+    :raises msgspec.DecodeError: it is no listing
     """
-    wire = msgspec.json.decode(raw, type=WireList)
-    return Page(
-        wire.metadata.resource_version,
-        tuple(decode_object(kind, bytes(item)) for item in wire.items),
-        wire.metadata.continue_,
-    )
+    page = msgspec.json.decode(body, type=_Page)
+    items = tuple(item for item in map(_item, page.items) if item)
+    return Page(items, page.as_of, page.has_more)
 
 
-def decode_line(kind: Collection, raw: bytes) -> Line:
-    """Decode one line of a watch.
+def decode_events(body: bytes) -> Events:
+    """Decode the answer of a watch; events without a name are left out.
 
-    :raises msgspec.DecodeError: it is no event of the API
-    """
-    wire = msgspec.json.decode(raw, type=WireEvent)
-    body = bytes(wire.object)
-    match wire.type:
-        case "ADDED" | "MODIFIED":
-            stored = decode_object(kind, body)
-            return Changed(stored, stored.version)
-        case "DELETED":
-            stored = decode_object(kind, body)
-            return Changed(ObjectDeleted(stored.name), stored.version)
-        case "BOOKMARK":
-            mark = msgspec.json.decode(body, type=WireObject)
-            return Bookmark(mark.metadata.resource_version)
-        case "ERROR":
-            return decode_status(0, body)
-        case _:
-            raise msgspec.ValidationError("unknown type of watch event")
-
-
-def decode_status(code: int, raw: bytes) -> StatusError:
-    """Decode an error; anything else becomes one without a reason.
-
-    :param code: HTTP status, 0 to take the one that the body states
+    :raises msgspec.DecodeError: it is no such answer
     """
-    try:
-        wire = msgspec.json.decode(raw, type=WireStatus)
-    except Malformed:
-        wire = WireStatus()
-    return StatusError(code or wire.code, wire.reason, wire.message)
+    answer = msgspec.json.decode(body, type=_Events)
+    events = []
+    for event in answer.events:
+        if not isinstance(event, dict):
+            continue
+        item = _item(event.get("object"))
+        if item:
+            events.append(Event(item, event.get("removed") is True))
+    return Events(tuple(events), answer.as_of)
+
+
+def _item(content: object) -> Item | None:
+    meta = content.get("meta") if isinstance(content, dict) else None
+    if not isinstance(meta, dict):
+        return None
+    name, revision = meta.get("name"), meta.get("revision")
+    if not isinstance(name, str) or not name or type(revision) is not int:
+        return None
+    return Item(name, revision, content)
