Call a silent store again while a node knows nothing

A node without any listing begins a further call of the store each 0.4 s; the first answer counts. Ruled out: a shorter time limit, because a store that answers slowly would never be read.

The test fails without the change.

--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -27,6 +27,9 @@
 # how late a change is seen after an outage.
 RETRY_S = 0.25
 MAX_RETRY_S = 1.0
+# A node that knows nothing calls the store again after this time without an
+# answer, in seconds. The slowest answers of the kinds of trouble take 0.4 s.
+FIRST_READ_S = 0.4
 # A source that failed is tried last for this time, and one that is not the
 # preferred one is left after it, in seconds.
 AVOID_S = 1.5
@@ -92,7 +95,7 @@
         sources = self._sources()
         failure = None
         for source in self._by_recent_failure(sources):
-            listing = await self._client.list_all(source, self._reader)
+            listing = await self._list(source)
             if isinstance(listing, Failure):
                 self._failed_at[source] = self._clock()
                 failure = listing
@@ -106,6 +109,33 @@
             await self._read_old(sources)
         return failure
 
+    async def _list(self, source: Source) -> Listing | Failure:
+        """List a topic; begin further calls while nothing is known.
+
+        A node that starts while the store is silent serves nothing. Its call
+        would find out that the store is back only after its time limit.
+        """
+        if self._knows or not source.is_store:
+            return await self._client.list_all(source, self._reader)
+        calls: set[asyncio.Future] = set()
+        try:
+            while True:
+                calls.add(
+                    asyncio.ensure_future(
+                        self._client.list_all(source, self._reader)
+                    )
+                )
+                done, _ = await asyncio.wait(
+                    calls,
+                    timeout=FIRST_READ_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if done:
+                    return done.pop().result()
+        finally:
+            for call in calls:
+                call.cancel()
+
     async def _read_old(self, sources: tuple[Source, ...]) -> None:
         """Start from what another node still serves with during an outage."""
         for source in sources:
--- a/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
@@ -5,8 +5,11 @@
 from collections.abc import Sequence
 import random
 
+import pytest
+
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
+from kumquatchuted.membership import follower
 from kumquatchuted.membership.follower import Follower
 from kumquatchuted.membership.messages import Stored
 from kumquatchuted.membership.messages import StoreLost
@@ -105,6 +108,50 @@
     asyncio.run(scenario())
 
 
+class SilentStore(ScriptedStore):
+    """Never answers the calls that begin before it is back."""
+
+    def __init__(self, silent_calls: int) -> None:
+        """Create a store that does not answer its first calls."""
+        super().__init__([Listing((), 5)], [])
+        self.silent_calls = silent_calls
+        self.cancelled = 0
+
+    async def list_all(
+        self, source: Source, reader: TopicReader, any_age: bool = False
+    ) -> object:
+        """Return the listing, or wait for ever."""
+        if self.silent_calls:
+            self.silent_calls -= 1
+            try:
+                await asyncio.Event().wait()
+            finally:
+                self.cancelled += 1
+        return await super().list_all(source, reader, any_age)
+
+
+def test_first_listing_does_not_wait_for_a_silent_call(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a node that stays blind after the store is back.
+
+    All nodes lost their power while the store was silent. Each waited for
+    the time limit of a call that had begun before the store returned, and
+    refused all requests for up to 1.6 s.
+    """
+    monkeypatch.setattr(follower, "FIRST_READ_S", 0.01)
+
+    async def scenario() -> None:
+        store = SilentStore(2)
+        posted, _, task = await follow(store)
+        await asyncio.sleep(0.1)
+        assert posted == [TopicListed(Topic.SEARCHERS, ())]
+        assert store.cancelled == 2
+        task.cancel()
+
+    asyncio.run(scenario())
+
+
 def test_lost_history_leads_to_a_new_listing() -> None:
     """Guards against a watch that continues from a dropped revision."""
 
