Log refusals without a route and count Retry-After from the time left

A request that was refused before its route was known (no manifest, no route, too large a body) left no line, so that `kumquatchute explain` found nothing. Retry-After was a part of the caller's time at the arrival of the request, also when the request was refused late; a caller with 800 ms that was refused after 400 ms was told 240 ms, and after 900 ms still 240 ms.

Both are mended with tests on the application without a network; the test of the time fails before the change in two of three cases, the test of the line in all three.

--- a/packages/kumquatchuted/src/kumquatchuted/front/app.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/app.py
@@ -14,6 +14,7 @@
 from kumquatchuted.front.messages import RequestBegan
 from kumquatchuted.front.messages import RequestEnded
 from kumquatchuted.front.router import Answer
+from kumquatchuted.front.router import refuse
 from kumquatchuted.front.router import Router
 from kumquatchuted.http.disconnect import Application
 from kumquatchuted.http.disconnect import CancelOnDisconnect
@@ -44,17 +45,20 @@
         state: Callable[[], FrontState],
         post: Post,
         count: Callable[[str, str], None],
+        clock: Callable[[], float],
     ) -> None:
         """Create the sink.
 
         :param state: returns limits and whether the node is stopping
         :param post: mailbox of the task of the listeners
         :param count: counts an event by its name and a label
+        :param clock: monotonic time in seconds
         """
         self._router = router
         self._state = state
         self._post = post
         self._count = count
+        self._clock = clock
 
     async def __call__(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response
@@ -69,6 +73,7 @@
     async def _run(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response
     ) -> None:
+        started = self._clock()
         limit = self._state().limits.max_body_bytes
         body = await req.stream.read(limit + 1)
         caller = decode_request(
@@ -79,7 +84,9 @@
             body,
         )
         if len(body) > limit:
-            result = Failure(ErrorKind.TOO_LARGE, "the body is too long", True)
+            result = refuse(
+                caller, ErrorKind.TOO_LARGE, "the body is too long"
+            )
         else:
             result = await self._router.run(caller)
         match result:
@@ -90,7 +97,7 @@
                     resp.append_header(name, value)
                 self._count("answers", str(result.status))
             case Failure():
-                self._fail(caller, result, resp)
+                self._fail(caller, result, resp, self._clock() - started)
         if self._state().is_stopping:
             resp.set_header("Connection", "close")
 
@@ -99,6 +106,7 @@
         caller: CallerRequest,
         failure: Failure,
         resp: falcon.asgi.Response,
+        took_s: float,
     ) -> None:
         self._count("failures", failure.kind.value)
         resp.status = ANSWERS[failure.kind].http_status
@@ -106,7 +114,8 @@
         if resp.status == 503:
             pause = DEFAULT_RETRY_S
             if caller.patience_s is not None:
-                pause = caller.patience_s * RETRY_SHARE
+                left_s = max(0.0, caller.patience_s - took_s)
+                pause = left_s * RETRY_SHARE
             resp.set_header(*encode_retry_after(pause))
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/front/router.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/router.py
@@ -68,17 +68,17 @@
         """Run a request; cancelled when its caller leaves."""
         table = self._state().table
         if table is None:
-            return Failure(
-                ErrorKind.UNAVAILABLE, "no manifest was read yet", True
+            return refuse(
+                req, ErrorKind.UNAVAILABLE, "no manifest was read yet"
             )
         route = find_route(table, req.host, req.path)
         if route is None:
-            return Failure(ErrorKind.NOT_FOUND, "no route matches", True)
+            return refuse(req, ErrorKind.NOT_FOUND, "no route matches")
         started = self._clock()
         times = self._times(route, req, started)
         if times.give_up_at <= started:
-            return Failure(
-                ErrorKind.UNAVAILABLE, "the time limit has passed", True
+            return refuse(
+                req, ErrorKind.UNAVAILABLE, "the time limit has passed"
             )
         match route.destination:
             case AllShards() as shards:
@@ -164,6 +164,17 @@
         return service
 
 
+def refuse(req: CallerRequest, kind: ErrorKind, reason: str) -> Failure:
+    """Log and return the failure of a request that was not started."""
+    log.warning(
+        "id={} route=None manifest=None attempts=0 outcome={} ms=0 {}",
+        req.request_id,
+        kind.value,
+        reason,
+    )
+    return Failure(kind, reason, not_run=True)
+
+
 def _log_end(
     req: CallerRequest,
     route: Route,
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/front/tests/test_caller_app.py
@@ -0,0 +1,127 @@
+"""Answers of the application for callers, without a network."""
+
+import asyncio
+from dataclasses import replace
+
+import logbook
+import pytest
+
+from kumquatchute_model.errors import ErrorKind
+from kumquatchute_model.errors import Failure
+from kumquatchuted.front.app import caller_app
+from kumquatchuted.front.app import CallerSink
+from kumquatchuted.front.app import RETRY_SHARE
+from kumquatchuted.front.messages import FrontState
+from kumquatchuted.front.router import Router
+from kumquatchuted.front.task import DEFAULT_LIMITS
+from kumquatchuted.platform.callers import CallerRequest
+from kumquatchuted.routing.messages import Manifest
+from kumquatchuted.routing.table import build_table
+
+EMPTY_TABLE = build_table(Manifest(1, (), {}, DEFAULT_LIMITS))
+STATE = FrontState(EMPTY_TABLE, DEFAULT_LIMITS, True, False)
+HEADERS = [
+    (b"host", b"a.example"),
+    (b"x-request-id", b"r-1"),
+    (b"x-deadline-ms", b"800"),
+]
+
+
+class Clock:
+    """A clock that the test moves."""
+
+    def __init__(self) -> None:
+        """Create a clock at zero."""
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        """Return the time in seconds."""
+        return self.now
+
+
+class SlowRouter:
+    """Refuses each request after a time."""
+
+    def __init__(self, clock: Clock, takes_s: float) -> None:
+        """Create a router."""
+        self._clock = clock
+        self._takes_s = takes_s
+
+    async def run(self, req: CallerRequest) -> Failure:
+        """Refuse a request."""
+        self._clock.now += self._takes_s
+        return Failure(ErrorKind.UNAVAILABLE, "no searcher", not_run=True)
+
+
+def request(router, clock, state=STATE, body=b""):
+    """Send a request as the server does; return status and headers."""
+    sink = CallerSink(
+        router, lambda: state, lambda message: None, lambda *args: None, clock
+    )
+    scope = {
+        "type": "http",
+        "asgi": {"version": "3.0", "spec_version": "2.1"},
+        "http_version": "1.1",
+        "method": "POST",
+        "scheme": "http",
+        "path": "/x/1",
+        "raw_path": b"/x/1",
+        "query_string": b"",
+        "headers": [*HEADERS, (b"content-length", b"%d" % len(body))],
+    }
+    received = [{"type": "http.request", "body": body, "more_body": False}]
+    sent = []
+
+    async def receive():
+        if not received:
+            await asyncio.Event().wait()
+        return received.pop(0)
+
+    async def send(message):
+        sent.append(message)
+
+    asyncio.run(caller_app(sink)(scope, receive, send))
+    return sent[0]["status"], dict(sent[0]["headers"])
+
+
+def router_of(state, clock):
+    return Router(
+        lambda: state, lambda message: None, lambda message: None, clock
+    )
+
+
+@pytest.mark.parametrize("takes_s", [0.0, 0.4, 0.9])
+def test_time_to_come_back_is_part_of_the_time_left(takes_s):
+    """Guards against a pause that outlasts the time of the caller.
+
+    It was worked out from the time at the arrival of the request, so that a
+    request refused late was told to come back after its deadline.
+    """
+    clock = Clock()
+    status, headers = request(SlowRouter(clock, takes_s), clock)
+    assert status == 503
+    left_s = max(0.0, 0.8 - takes_s)
+    told_s = float(headers[b"retry-after"])
+    assert told_s == pytest.approx(left_s * RETRY_SHARE, abs=0.01)
+
+
+@pytest.mark.parametrize(
+    ("state", "body", "status", "reason"),
+    [
+        (replace(STATE, table=None), b"", 503, "no manifest was read yet"),
+        (STATE, b"", 404, "no route matches"),
+        (STATE, b"x" * 1_048_577, 413, "the body is too long"),
+    ],
+)
+def test_refusal_before_a_route_is_chosen_leaves_a_line(
+    state, body, status, reason
+):
+    """Guards against a failed request that no log explains."""
+    clock = Clock()
+    router = router_of(state, clock)
+    with logbook.TestHandler().applicationbound() as records:
+        answered, _ = request(router, clock, state, body)
+    assert answered == status
+    (line,) = [item for item in records.records if item.channel == "request"]
+    assert line.message.startswith("id=r-1 route=None ")
+    assert line.message.endswith(reason)
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -114,7 +114,9 @@
         clock,
         metrics.observe,
     )
-    sink = CallerSink(router, front.state, front.mailbox.post, metrics.count)
+    sink = CallerSink(
+        router, front.state, front.mailbox.post, metrics.count, clock
+    )
     callers = Listener(caller_app(sink), front.state)
     operations_asgi = operations_app(front.state, metrics.render)
     operations = Listener(operations_asgi, front.state)
