Pass removed objects on in the form that nodes decode

The log of the reader of atl-north has "entry removed" at 23.01 s, that of the other node of the data centre, which reads from it, has not. A relay passed removed objects on without a revision, and the common client of skips objects without one; the client before took any object with a name.

--- a/packages/kumquatchuted/src/kumquatchuted/platform/client.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/client.py
@@ -6,6 +6,7 @@
 import time
 from urllib.parse import quote
 
+from logbook import Logger
 import msgspec
 
 from kumquatchute_model.errors import Failure
@@ -43,6 +44,8 @@
 # this one. A listing after it is empty and states the revision alone.
 LAST_NAME = "~"
 
+log = Logger("store")
+
 
 class ObjectStore:
     """Meets ``Store`` with calls of the platform's object store."""
@@ -171,7 +174,9 @@
         result = await self._call("GET", self._url(kind), query)
         if isinstance(result, Response):
             try:
-                return decode_page(result.body)
+                page = decode_page(result.body)
+                _warn_of_skipped(kind, page.skipped)
+                return page
             except MALFORMED as exc:
                 result = NoAnswer(f"malformed listing: {exc}")
         return read_failure(result)
@@ -183,7 +188,9 @@
         result = await self._call("GET", self._url(kind), query, wait_s=wait_s)
         if isinstance(result, Response):
             try:
-                return decode_events(result.body)
+                events = decode_events(result.body)
+                _warn_of_skipped(kind, events.skipped)
+                return events
             except MALFORMED as exc:
                 return NoAnswer(f"malformed answer of a watch: {exc}")
         return result
@@ -229,6 +236,15 @@
         return f"{url}/{quote(name, safe='')}" if name else url
 
 
+def _warn_of_skipped(kind: Collection, count: int) -> None:
+    if count:
+        log.warning(
+            "Store: {} objects of kind {} without a name or a revision.",
+            count,
+            kind.value,
+        )
+
+
 def _stored(item: Item) -> StoredObject:
     body = msgspec.json.encode(item.spec)
     return StoredObject(item.name, str(item.revision), body)
--- a/packages/kumquatchuted/src/kumquatchuted/platform/objects.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/objects.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 
+from logbook import Logger
 import msgspec
 
 from kumquatchute_model.errors import ErrorKind
@@ -48,6 +49,8 @@
 REGISTER_RETRY_S = 0.3
 MAX_REGISTER_RETRY_S = 2.0
 
+log = Logger("membership")
+
 
 class ObjectClient:
     """Reads topics from any source; returns failures, never raises."""
@@ -85,6 +88,7 @@
                 page = decode_page(body)
             except MALFORMED as exc:
                 return _malformed(f"malformed listing: {exc}")
+            _warn_of_skipped(reader.kind, source, page.skipped)
             revision = page.revision if revision is None else revision
             items |= {item.name: item for item in page.items}
             if not page.has_more or not page.items:
@@ -121,6 +125,7 @@
             answer = decode_events(body)
         except MALFORMED as exc:
             return _malformed(f"malformed answer of a watch: {exc}")
+        _warn_of_skipped(reader.kind, source, answer.skipped)
         latest = {
             event.item.name: None if event.removed else event.item.content
             for event in answer.events
@@ -186,5 +191,15 @@
     )
 
 
+def _warn_of_skipped(kind: str, source: Source, count: int) -> None:
+    if count:
+        log.warning(
+            "objects without name or revision kind={} address={} count={}",
+            kind,
+            source.address,
+            count,
+        )
+
+
 def _malformed(reason: str) -> Failure:
     return Failure(ErrorKind.UNAVAILABLE, reason)
--- a/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
@@ -156,7 +156,8 @@
     for name in names:
         item = known.items.get(name)
         if item is None:
-            gone = {"meta": {"name": name}}
+            # The revision of the removal itself is not known.
+            gone = {"meta": {"name": name, "revision": known.revision}}
             events.append({"removed": True, "object": gone})
         else:
             events.append({"removed": False, "object": item})
--- a/packages/kumquatchuted/src/kumquatchuted/platform/wire.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/wire.py
@@ -38,11 +38,13 @@
 
     :param revision: the store's revision when the page was read
     :param has_more: whether further objects follow the last one by name
+    :param skipped: number of objects without a name or a revision
     """
 
     items: tuple[Item, ...]
     revision: int
     has_more: bool
+    skipped: int
 
 
 @dataclass(frozen=True)
@@ -58,10 +60,12 @@
     """Answer of a watch.
 
     :param revision: revision from which the watch continues
+    :param skipped: number of events without a name or a revision
     """
 
     events: tuple[Event, ...]
     revision: int
+    skipped: int
 
 
 class _Page(msgspec.Struct, rename="camel"):
@@ -105,7 +109,8 @@
     """
     page = msgspec.json.decode(body, type=_Page)
     items = tuple(item for item in map(_item, page.items) if item)
-    return Page(items, page.as_of, page.has_more)
+    skipped = len(page.items) - len(items)
+    return Page(items, page.as_of, page.has_more, skipped)
 
 
 def decode_events(body: bytes) -> Events:
@@ -121,7 +126,8 @@
         item = _item(event.get("object"))
         if item:
             events.append(Event(item, event.get("removed") is True))
-    return Events(tuple(events), answer.as_of)
+    skipped = len(answer.events) - len(events)
+    return Events(tuple(events), answer.as_of, skipped)
 
 
 def _item(content: object) -> Item | None:
