Count a repeat of the allowance as a cost of a failing searcher

Logs show one of them chosen five times in half a second: a shed request costs a millisecond, so that the searcher stayed cheaper than one in another data centre until its repeats were used up (`cause=no_budget`), and queries that lacked 3 of 20 shards failed after 2 ms.

The expected cost of an attempt now adds the share of failures times four of the usual times, for the repeat that the fleet allows for a part of the requests only. Ruled out: a larger allowance, which the rule on budgets does not leave, and waiting for the next allowance, which comes about once a second for each shard.

A seeded arrival pattern on a virtual clock loses 1 to 5 shards before and none after.

--- a/packages/kumquatchuted/src/kumquatchuted/searchers/load.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/load.py
@@ -16,6 +16,10 @@
 # seconds; doubles with each further failure up to the longest one.
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 2.0
+# A failed attempt takes a repeat from an allowance that holds for a part of
+# the requests only. Without one the query lacks a shard, which is worse than
+# this multiple of the usual time.
+REPEAT_FACTOR = 4.0
 # An attempt is overdue after this multiple of the usual time.
 OVERDUE_FACTOR = 3.0
 
@@ -129,7 +133,7 @@
 def expected_completion(
     load: Load, capacity: int, expected_s: float, now: float
 ) -> float:
-    """Return the time until an answer, if one more attempt is sent.
+    """Return the cost of one more attempt as a time until its answer.
 
     An attempt that is overdue shows a pause: as long as it lasts, the
     searcher is assumed to need as much time again.
@@ -145,7 +149,8 @@
     if load.pending:
         overdue = max(0.0, now - load.pending[0] - 2 * each)
     success = max(0.05, 1.0 - current.failing)
-    return (each * (1 + waiting) + overdue) / success
+    repeats = current.failing * REPEAT_FACTOR * expected_s
+    return (each * (1 + waiting) + overdue) / success + repeats
 
 
 def _others(report: LoadReport | None, now: float) -> int:
