Test sites of seven other shapes with real nodes

On each, all answers are whole and right on a calm site, and after the planned stop and restart of a node.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 import os
 from pathlib import Path
+import resource
 import signal
 import sys
 
@@ -59,6 +60,8 @@
     :param singles: data centre of each searcher of the single service
     :param proxied: whether links to the store and to searchers lead through
         proxies
+    :param descriptors: most open files of a node, None for the limit of the
+        process that starts it
     """
 
     nodes: tuple[str, ...] = ("a", "b")
@@ -66,6 +69,7 @@
     replicas: tuple[str, ...] = ("a", "b")
     singles: tuple[str, ...] = ("a", "b")
     proxied: bool = False
+    descriptors: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,7 +172,7 @@
     async def start_node(self, node: NodePlace) -> None:
         """Start the process of a node."""
         with (self.folder / f"{node.name}.log").open("ab") as output:
-            self._running[node.name] = await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "kumquatchuted.gateway",
@@ -179,6 +183,10 @@
                     "KUMQUATCHUTE_SETTINGS": str(node.settings),
                 },
             )
+        self._running[node.name] = process
+        most = self.shape.descriptors
+        if most is not None:
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (most, most))
 
     def signal(self, node: NodePlace, number: signal.Signals) -> None:
         """Send a signal to the process of a node."""
@@ -269,7 +277,10 @@
 
 
 def manifest(version: int, shards: tuple[str, ...]) -> dict:
-    """Return a manifest with a query over shards and two single routes."""
+    """Return a manifest with two single routes, and queries over shards.
+
+    :param shards: services of the queries; none on a site of one service
+    """
     common = {
         "host": HOST,
         "timeoutMs": 2000,
@@ -277,18 +288,19 @@
         "priority": 1,
         "maxAttempts": 2,
     }
+    queries = {
+        **common,
+        "name": "notes",
+        "pathPrefix": "/notes/",
+        "routeType": "idempotent",
+        "gather": list(shards),
+        "topK": TOP,
+        "minCoverage": 0.5,
+    }
     return {
         "version": version,
         "routes": [
-            {
-                **common,
-                "name": "notes",
-                "pathPrefix": "/notes/",
-                "routeType": "idempotent",
-                "gather": list(shards),
-                "topK": TOP,
-                "minCoverage": 0.5,
-            },
+            *([queries] if shards else []),
             {
                 **common,
                 "name": "fetch",
--- /dev/null
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_site_shapes.py
@@ -0,0 +1,108 @@
+"""Sites of other shapes than those that the nodes were tuned on."""
+
+import asyncio
+from pathlib import Path
+import signal
+
+import aiohttp
+import pytest
+
+from kumquatchute_standins.platform.fleet.callers import call
+from kumquatchute_standins.platform.fleet.callers import Seen
+from kumquatchute_standins.platform.fleet.callers import steady
+from kumquatchute_standins.platform.fleet.site import FleetSite
+from kumquatchute_standins.platform.fleet.site import Shape
+
+PER_S = 15.0
+# Nodes that callers use; more would only load the machine.
+USED_NODES = 3
+
+SHAPES = {
+    "one node, one searcher a shard": Shape(
+        nodes=("a",), shards=3, replicas=("a",), singles=("a",)
+    ),
+    "six data centres, searchers in three": Shape(
+        nodes=tuple("abcdef"), shards=12, replicas=tuple("ace"), singles=("b",)
+    ),
+    "twelve nodes, few shards": Shape(
+        nodes=tuple("abcabcabcabc"), shards=3, replicas=("a", "b")
+    ),
+    "sixty shards": Shape(nodes=("a", "b"), shards=60, replicas=("a", "b")),
+    "no searcher near any caller": Shape(
+        nodes=("c", "d"), shards=6, replicas=("a", "b"), singles=("a",)
+    ),
+    "one service, no queries": Shape(
+        nodes=("a", "b"), shards=0, replicas=(), singles=("a", "a", "b")
+    ),
+    "few descriptors": Shape(
+        nodes=("a", "b"), shards=30, replicas=("a", "b"), descriptors=96
+    ),
+}
+
+shapes = pytest.mark.parametrize(
+    "shape", list(SHAPES.values()), ids=list(SHAPES)
+)
+
+
+async def load(
+    site: FleetSite, session: aiohttp.ClientSession, seconds: float
+) -> list[Seen]:
+    """Send requests to some nodes and return what came of them."""
+    kinds = [("/fetch/1", ())]
+    if site.shard_names:
+        kinds.append(("/notes/1", site.shard_names))
+    runs = [
+        steady(
+            lambda port=node.front, path=path, shards=shards: call(
+                session, port, path, shards
+            ),
+            PER_S,
+            seconds,
+        )
+        for node in site.nodes[:USED_NODES]
+        for path, shards in kinds
+    ]
+    return [item for seen in await asyncio.gather(*runs) for item in seen]
+
+
+def assert_all_right(seen: list[Seen]) -> None:
+    """Check that each request has a right answer that covers all shards."""
+    wrong = [
+        item
+        for item in seen
+        if item.status != 200 or item.fault or item.covered < 1.0
+    ]
+    assert not wrong, wrong[:3]
+
+
+@shapes
+def test_site_answers_whole_and_right(tmp_path: Path, shape: Shape) -> None:
+    """Guards against constants that stand for the size of one site."""
+
+    async def run() -> None:
+        async with FleetSite(shape, tmp_path) as site:
+            async with aiohttp.ClientSession() as session:
+                assert_all_right(await load(site, session, 1.5))
+
+    asyncio.run(run())
+
+
+@shapes
+def test_site_serves_on_after_a_planned_stop_and_a_restart(
+    tmp_path: Path, shape: Shape
+) -> None:
+    """Guards against nodes that depend on another one of their site."""
+
+    async def run() -> None:
+        async with FleetSite(shape, tmp_path) as site:
+            last = site.nodes[-1]
+            site.signal(last, signal.SIGTERM)
+            assert await site.wait_ended(last) == 0
+            async with aiohttp.ClientSession() as session:
+                if len(site.nodes) > USED_NODES:
+                    assert_all_right(await load(site, session, 1.0))
+                await site.start_node(last)
+                await site.wait_ready(last)
+                assert_all_right(await load(site, session, 1.0))
+
+    asyncio.run(run())
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_shedding_load.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_shedding_load.py
@@ -8,9 +8,9 @@
 import pytest
 
 from kumquatchuted.retries import budget as bud
-from kumquatchuted.searchers import load as ld
 from kumquatchuted.searchers.choice import Candidate
 from kumquatchuted.searchers.choice import choose
+from kumquatchuted.searchers import load as ld
 
 USUAL_S = 0.02
 ARRIVALS_PER_S = 15.0
