--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	packages/kumquatchute-bench
 SOURCES := packages
 
-.PHONY: install test lint format matrix demo soak bench clean
+.PHONY: install test lint format matrix days demo soak bench clean
 
 install: $(VENV)/.installed
 
@@ -33,6 +33,10 @@
 matrix: install
 	$(BIN)/python -m kumquatchute_bench.fault_matrix $(MATRIX_OPTIONS)
 
+# Sums up the journal of the users' bench in docs/played-days.md.
+days: install
+	$(BIN)/python -m kumquatchute_bench.played_days
+
 demo: install
 	$(BIN)/python -m kumquatchute_standins.platform.fleet
 	$(BIN)/python -m kumquatchute_standins.demo
--- a/packages/kumquatchute-bench/src/kumquatchute_bench/fault_matrix/page.py
+++ b/packages/kumquatchute-bench/src/kumquatchute_bench/fault_matrix/page.py
@@ -19,7 +19,10 @@
 test checks; it does not say that the test covers every moment of the step. A
 test that is skipped, expected to fail or listed in KNOWN-RED.txt proves
 nothing. Pairs of faults are listed if a test proves them or if they are
-wanted; other pairs have no test."""
+wanted; other pairs have no test.
+
+The kinds of trouble of the users' platform, the days that hold them and what
+came of them are in docs/played-days.md."""
 
 
 def write_page(matrix: Matrix) -> str:
--- /dev/null
+++ b/packages/kumquatchute-bench/src/kumquatchute_bench/played_days/__init__.py
@@ -0,0 +1,1 @@
+"""Sums up the days that were played on the users' bench."""
