Split the decisions of a query by duty

The counts and identifiers are now owned by AttemptLedger (search/attempts.py), and the choice of a replica, the moment of a retry and whether one helps are functions without state (search/replicas.py). Three tests asked a private dictionary whether an attempt is awaited; they ask Query.awaits now and check the same.

--- a/packages/kumquatchuted/src/kumquatchuted/search/query.py
+++ b/packages/kumquatchuted/src/kumquatchuted/search/query.py
@@ -7,7 +7,7 @@
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.query import SearchAnswer
-from kumquatchuted.search.deadlines import lag_limit
+from kumquatchuted.search.attempts import AttemptLedger
 from kumquatchuted.search.deadlines import last_moment
 from kumquatchuted.search.deadlines import restart_limit
 from kumquatchuted.search.deadlines import soft_moment
@@ -35,6 +35,10 @@
 from kumquatchuted.search.query_events import TimePassed
 from kumquatchuted.search.query_events import WakeAt
 from kumquatchuted.search.query_events import Withdraw
+from kumquatchuted.search.replicas import choose_replica
+from kumquatchuted.search.replicas import HANDOVER_KINDS
+from kumquatchuted.search.replicas import is_retryable
+from kumquatchuted.search.replicas import retry_moment
 from kumquatchuted.search.routing import Routing
 from kumquatchuted.search.routing import RoutingChanged
 from kumquatchuted.targets.messages import AttemptOutcome
@@ -45,22 +49,6 @@
 RESTART_SHARD_FRACTION = 0.5
 """Fraction of shards with a newer version that restarts a query."""
 
-RETRY_DELAY_S = 0.02
-MAX_RETRY_DELAY_S = 0.16
-MAX_ATTEMPTS_PER_SHARD = 8
-HANDOVER_KINDS = frozenset(
-    {
-        ErrorKind.NOT_OWNER,
-        ErrorKind.NOT_CURRENT,
-        ErrorKind.UNAVAILABLE,
-    }
-)
-"""Refusals that end by themselves, so that the same searcher is tried again.
-
-A searcher that is full gets no second attempt of the same query: under
-overload these would take the node's time from the queries that can run.
-"""
-
 
 class Query:
     """State machine of one query.
@@ -78,12 +66,11 @@
         rng: random.Random,
     ) -> None:
         """Create the query; ``Started`` sends its first attempts."""
-        self._prefix = prefix
+        self._attempts = AttemptLedger(prefix)
         self._plan = plan
         self._routing = routing
         self._policy = policy
         self._rng = rng
-        self._count = 0
         self._restarted = False
         self._replanning = False
         self._finished = False
@@ -91,11 +78,6 @@
         self._hedges_requested = False
         # Grants come in the order of the requests.
         self._extra_requests: deque[tuple[str, ...]] = deque()
-        self._extra_attempts: set[str] = set()
-        self._sent_first = 0
-        self._sent_extra = 0
-        self._answered = 0
-        self._failed = 0
         self._reset(plan)
 
     def _reset(self, plan: Plan) -> None:
@@ -107,7 +89,6 @@
             shard.shard: ShardProgress(shard)
             for shard in plan.shard_map.shards
         }
-        self._by_attempt: dict[str, str] = {}
 
     def handle(self, event: Event, now: float) -> tuple[Action, ...]:
         """Decide what follows from an event.
@@ -133,6 +114,10 @@
                 self._routing = routing
                 return ()
 
+    def awaits(self, attempt: str) -> bool:
+        """Return whether the outcome of an attempt still matters."""
+        return self._attempts.awaits(attempt)
+
     # Start and restart
 
     def _start(self, now: float) -> tuple[Action, ...]:
@@ -181,11 +166,8 @@
         searcher = self._choose(progress)
         if searcher is None:
             return self._retry_later(shard, now)
-        self._count += 1
-        attempt = f"{self._prefix}-{self._count}"
-        self._by_attempt[attempt] = shard
+        attempt = self._attempts.start(shard, extra)
         self._open[shard] = with_attempt(progress, attempt, searcher)
-        self._count_sent(attempt, extra)
         sub_query = SubQuery(
             attempt,
             self._plan.service,
@@ -199,43 +181,13 @@
         )
         return (Send(self._routing.owners[searcher], sub_query, extra),)
 
-    def _count_sent(self, attempt: str, extra: bool) -> None:
-        if extra:
-            self._extra_attempts.add(attempt)
-            self._sent_extra += 1
-        else:
-            self._sent_first += 1
-
-    def _uncount_sent(self, attempt: str) -> None:
-        """Leave out an attempt that reached no searcher."""
-        if attempt in self._extra_attempts:
-            self._sent_extra -= 1
-        else:
-            self._sent_first -= 1
-
     def _choose(self, progress: ShardProgress) -> str | None:
-        """Choose the usable replica that was tried least often."""
-        busy = set(progress.outstanding.values())
-        usable = [
-            searcher
-            for searcher in progress.shard.replicas
-            if searcher in self._routing.owners and searcher not in busy
-        ]
-        if not usable or len(progress.tried) >= MAX_ATTEMPTS_PER_SHARD:
-            return None
-        return min(
-            usable,
-            key=lambda name: (progress.tried.count(name), self._rng.random()),
-        )
+        return choose_replica(progress, self._routing.owners, self._rng)
 
     def _retry_later(self, shard: str, now: float) -> tuple[Action, ...]:
         """Look again after a delay; owners and searchers change."""
-        progress = self._open[shard]
-        if len(progress.tried) >= MAX_ATTEMPTS_PER_SHARD:
-            return ()
-        rounds = min(len(progress.tried), 3)
-        at = now + min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2**rounds)
-        if at >= last_moment(self._policy):
+        at = retry_moment(self._open[shard], self._policy, now)
+        if at is None:
             return ()
         self._update(shard, retry_at=at)
         return (WakeAt(at),)
@@ -243,9 +195,8 @@
     # Outcomes
 
     def _outcome(self, outcome: AttemptOutcome, now: float):
-        shard = self._by_attempt.pop(outcome.attempt, None)
+        shard = self._attempts.end(outcome.attempt)
         if shard is None:
-            # An attempt of an earlier plan, or of another query.
             return ()
         match outcome:
             case SubResult() if belongs_to(self._plan, outcome):
@@ -264,7 +215,6 @@
         return ()
 
     def _answered_by(self, shard: str, result: SubResult, now: float):
-        self._answered += 1
         self._results[shard] = result
         progress = self._open.pop(shard)
         losers = tuple(
@@ -272,8 +222,7 @@
             for attempt in progress.outstanding
             if attempt != result.attempt
         )
-        for attempt in losers:
-            del self._by_attempt[attempt]
+        self._attempts.answered(losers)
         withdraw = (Withdraw(losers),) if losers else ()
         soft = soft_moment(self._policy)
         if soft is not None and now >= soft and not self._replanning:
@@ -282,9 +231,9 @@
 
     def _refused(self, shard: str, refusal: SubRefused, now: float):
         if refusal.not_run:
-            self._uncount_sent(refusal.attempt)
+            self._attempts.not_run(refusal.attempt)
         else:
-            self._failed += 1
+            self._attempts.failed()
         progress = self._open[shard]
         outstanding = {**progress.outstanding}
         del outstanding[refusal.attempt]
@@ -301,7 +250,9 @@
 
     def _retry(self, shard: str, refusal: SubRefused, now: float):
         progress = self._open[shard]
-        if progress.outstanding or not self._is_retryable(refusal, now):
+        if progress.outstanding or not is_retryable(
+            refusal, self._policy, now
+        ):
             return ()
         if useful_until(self._policy, bool(self._results), now) is None:
             return ()
@@ -315,14 +266,6 @@
             return ()
         return self._retry_later(shard, now)
 
-    def _is_retryable(self, refusal: SubRefused, now: float) -> bool:
-        match refusal.kind:
-            case ErrorKind.DEADLINE_EXCEEDED:
-                return refusal.not_run and now < last_moment(self._policy)
-            case ErrorKind.WRONG_VERSION:
-                return now < lag_limit(self._policy)
-        return now < last_moment(self._policy)
-
     def _restart(self, now: float) -> tuple[Action, ...]:
         """Ask for a newer snapshot if most shards have left the pinned one."""
         if self._restarted or self._replanning:
@@ -427,8 +370,7 @@
         return (*withdraw, Finish(failure, self._stats()))
 
     def _withdraw_all(self) -> tuple[Action, ...]:
-        attempts = tuple(self._by_attempt)
-        self._by_attempt.clear()
+        attempts = self._attempts.withdraw_all()
         return (Withdraw(attempts),) if attempts else ()
 
     def _result(self, now: float) -> SearchAnswer | Failure:
@@ -446,7 +388,7 @@
         """Say whether any attempt, of this plan or before, may have run."""
         return (
             self._may_have_run
-            or self._answered > 0
+            or self._attempts.has_answers()
             or any(
                 progress.may_have_run or progress.outstanding
                 for progress in self._open.values()
@@ -454,14 +396,8 @@
         )
 
     def _stats(self) -> QueryStats:
-        return QueryStats(
-            self._shard_count(),
-            self._sent_first,
-            self._sent_extra,
-            self._answered,
-            self._failed,
-            overloaded=sum(map(is_overloaded, self._open.values())),
-        )
+        overloaded = sum(map(is_overloaded, self._open.values()))
+        return self._attempts.stats(self._shard_count(), overloaded)
 
     def _update(self, shard: str, **changes) -> None:
         self._open[shard] = replace(self._open[shard], **changes)
--- a/packages/kumquatchuted/src/kumquatchuted/search/tests/test_search_pairs.py
+++ b/packages/kumquatchuted/src/kumquatchuted/search/tests/test_search_pairs.py
@@ -58,7 +58,7 @@
         result = SubResult(
             attempt.attempt, attempt.searcher, version, 1, documents, hits
         )
-        live = attempt.attempt in self.query._by_attempt
+        live = self.query.awaits(attempt.attempt)
         if live and version == attempt.index_version:
             self.answered[version, attempt.shard] = documents
         self.handle(OutcomeArrived(result), self.now)
@@ -220,7 +220,7 @@
     now = 0.0
     while driver.finish is None:
         for attempt in [*driver.sent]:
-            live = attempt.attempt in driver.query._by_attempt
+            live = driver.query.awaits(attempt.attempt)
             if live and attempt.shard != "s0":
                 driver.answer(attempt, now)
             elif live and refuse_s0:
--- a/packages/kumquatchuted/src/kumquatchuted/search/tests/test_search_query.py
+++ b/packages/kumquatchuted/src/kumquatchuted/search/tests/test_search_query.py
@@ -379,7 +379,7 @@
     for kind, index, elapsed in steps:
         now = min(now + elapsed, 0.99)
         attempt = driver.sent[index % len(driver.sent)]
-        live = attempt.attempt in driver.query._by_attempt
+        live = driver.query.awaits(attempt.attempt)
         match kind:
             case "answer":
                 driver.answer(attempt, now)
