Answer a head that is too large with 431

The connection ended without an answer, so that a caller could take it for a fault of the node and send the same head to the next one. The head is now refused with 431 and `too_large`, unless an answer is under way on the connection, which the refusal would spoil. Both listeners take their common uvicorn settings from one function. Tests over real connections; the first one fails without the change.

--- a/packages/kumquatchuted/src/kumquatchuted/front/listener.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/listener.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections.abc import Callable
 
-import uvicorn
 from uvicorn.server import ServerState
 
 from kumquatchute_model.errors import Failure
@@ -16,6 +15,7 @@
 from kumquatchuted.http.server import bind
 from kumquatchuted.http.server import BoundedHttpProtocol
 from kumquatchuted.http.server import HeadBounds
+from kumquatchuted.http.server import http_config
 
 # An idle connection outlives the time that callers are told, so that none
 # is closed while a request is on its way.
@@ -62,17 +62,7 @@
 
         :param state: returns the limits in force
         """
-        self._config = uvicorn.Config(
-            app,
-            http=BoundedHttpProtocol,
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            proxy_headers=False,
-            server_header=False,
-            date_header=False,
-        )
+        self._config = http_config(app, date_header=False)
         self._config.load()
         self._state = state
         self._server_state = ServerState()
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/front/tests/test_listener.py
@@ -0,0 +1,72 @@
+"""Heads of requests that callers may not send, over real connections."""
+
+import asyncio
+
+from kumquatchuted.front.listener import Listener
+from kumquatchuted.front.messages import FrontState
+from kumquatchuted.front.task import DEFAULT_LIMITS
+from kumquatchuted.http.server import bind
+
+STATE = FrontState(None, DEFAULT_LIMITS, False, False)
+HEAD = b"GET /x/1 HTTP/1.1\r\nhost: a.example\r\n"
+
+
+async def answer(scope, receive, send):
+    """Answer each request after a moment, as an application."""
+    await asyncio.sleep(0.05)
+    start = {"type": "http.response.start", "status": 200, "headers": []}
+    await send({**start, "headers": [(b"content-length", b"2")]})
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
+def exchange(*pieces: bytes) -> bytes:
+    """Send bytes on one connection and return all that comes back."""
+
+    async def run() -> bytes:
+        listener = Listener(answer, lambda: STATE)
+        sock = bind("127.0.0.1:0")
+        address = "127.0.0.1:%d" % sock.getsockname()[1]
+        sock.close()
+        assert await listener.open(address) is None
+        host, _, port = address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(0.01)
+        try:
+            async with asyncio.timeout(1):
+                return await reader.read()
+        except (ConnectionResetError, TimeoutError):
+            return b""
+        finally:
+            writer.close()
+            listener.close()
+
+    return asyncio.run(run())
+
+
+def large_header() -> bytes:
+    """Return a header beyond the limit of the manifest."""
+    return b"x-long: " + b"x" * DEFAULT_LIMITS.max_header_bytes
+
+
+def test_head_that_is_too_large_is_answered_with_431() -> None:
+    """Guards against a caller that takes a closed connection for a fault.
+
+    It would send the same head to another node.
+    """
+    seen = exchange(HEAD, large_header())
+    assert seen.startswith(b"HTTP/1.1 431 ")
+    assert b"connection: close" in seen
+    assert b'"too_large"' in seen
+
+
+def test_large_head_does_not_spoil_the_answer_under_way() -> None:
+    """Guards against bytes of a refusal inside another answer."""
+    seen = exchange(HEAD + b"\r\n", HEAD + large_header())
+    assert b"431" not in seen
+
+
+def test_bytes_that_are_no_request_are_answered_with_400() -> None:
+    """Guards against silence for callers that speak another protocol."""
+    assert exchange(b"\x16\x03\x01\x02\r\n\r\n").startswith(b"HTTP/1.1 400 ")
--- a/packages/kumquatchuted/src/kumquatchuted/http/server.py
+++ b/packages/kumquatchuted/src/kumquatchuted/http/server.py
@@ -30,6 +30,9 @@
 NOT_HTTP = Failure(
     ErrorKind.MALFORMED, "this is no HTTP/1.1 request", not_run=True
 )
+LARGE = Failure(
+    ErrorKind.TOO_LARGE, "the head of the request is too large", not_run=True
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,13 +74,13 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Close the connection if the head gets too large."""
+        """Refuse a head that gets too large."""
         super().data_received(data)
         if not self._in_head:
             return
         self._head_bytes += len(data)
         if self._head_bytes > self.bounds().head_bytes:
-            self.transport.abort()
+            self._refuse_head()
 
     def on_message_begin(self) -> None:
         """Start to count the bytes and the time of a head."""
@@ -97,12 +100,24 @@
 
         :param msg: text of uvicorn, replaced by a failure of the closed list
         """
-        body = msgspec.json.encode(NOT_HTTP)
+        self._answer_and_close(b"400 Bad Request", NOT_HTTP)
+
+    def _refuse_head(self) -> None:
+        """Answer a head that is too large, unless an answer is under way."""
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.transport.abort()
+            return
+        self._cancel_timer()
+        self._in_head = False
+        self._answer_and_close(b"431 Request Header Fields Too Large", LARGE)
+
+    def _answer_and_close(self, status: bytes, failure: Failure) -> None:
+        body = msgspec.json.encode(failure)
         self.transport.write(
-            b"HTTP/1.1 400 Bad Request\r\n"
+            b"HTTP/1.1 %s\r\n"
             b"content-type: application/json\r\n"
             b"content-length: %d\r\n"
-            b"connection: close\r\n\r\n%s" % (len(body), body)
+            b"connection: close\r\n\r\n%s" % (status, len(body), body)
         )
         self.transport.close()
 
@@ -116,21 +131,32 @@
             self._head_timer = None
 
 
+def http_config(app: Application, **options: object) -> uvicorn.Config:
+    """Return the settings that all listeners share.
+
+    :param options: further settings of uvicorn
+    """
+    return uvicorn.Config(
+        app,
+        http=BoundedHttpProtocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        **options,
+    )
+
+
 class Listener(uvicorn.Server):
     """One listener; signals belong to the composition root."""
 
     def __init__(self, app: Application, sock: socket.socket) -> None:
         """Create a listener on a bound socket."""
         super().__init__(
-            uvicorn.Config(
+            http_config(
                 app,
-                http=BoundedHttpProtocol,
-                ws="none",
-                lifespan="off",
-                log_config=None,
-                access_log=False,
-                proxy_headers=False,
-                server_header=False,
                 timeout_keep_alive=KEEP_ALIVE_S,
                 timeout_graceful_shutdown=CLOSE_LIMIT_S,
             )
