Move the run of a disturbed site out of the soak

The soak owned the code that plays disturbances on a site of real nodes, so that nothing else could use it. The disturbances are now data in platform/fleet/disturbances.py and SiteRun plays them and returns what callers and searchers saw; the soak draws plans and judges. A site can run the nodes of another checkout, for comparisons.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
@@ -86,13 +86,17 @@
 class FleetSite:
     """Owns the stand-ins and the processes of the nodes."""
 
-    def __init__(self, shape: Shape, folder: Path) -> None:
+    def __init__(
+        self, shape: Shape, folder: Path, source: Path | None = None
+    ) -> None:
         """Create a site; nothing runs yet.
 
         :param folder: receives settings and logs
+        :param source: checkout whose nodes run, None for this one
         """
         self.shape = shape
         self.folder = folder
+        self._source = source
         self.arrivals: list[Arrival] = []
         self.version = 1
         self.shard_names = tuple(f"sh{n:02d}" for n in range(shape.shards))
@@ -180,6 +184,7 @@
                 stderr=output,
                 env={
                     **os.environ,
+                    **_python_path(self._source),
                     "KUMQUATCHUTE_SETTINGS": str(node.settings),
                 },
             )
@@ -329,6 +334,16 @@
     }
 
 
+def _python_path(source: Path | None) -> dict[str, str]:
+    """Return the variable that makes nodes run from another checkout."""
+    if source is None:
+        return {}
+    packages = source.resolve() / "packages"
+    names = ("kumquatchuted", "kumquatchute-model")
+    paths = [str(packages / name / "src") for name in names]
+    return {"PYTHONPATH": os.pathsep.join(paths)}
+
+
 async def _is_ok(session: aiohttp.ClientSession, url: str) -> bool:
     try:
         async with session.get(url) as response:
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/checks.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/checks.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterable
 from collections import Counter
-from dataclasses import dataclass
 
 from kumquatchute_standins.platform.fleet.callers import Seen
+from kumquatchute_standins.platform.fleet.run import Absence
+from kumquatchute_standins.platform.fleet.run import ColdCount
 from kumquatchute_standins.platform.fleet.searcher import Arrival
 
 # Statuses that promise that the request has not run and never will.
@@ -19,17 +20,13 @@
 RECOVERED = 0.97
 
 
-@dataclass(frozen=True, slots=True)
-class Absence:
-    """A searcher that was to receive nothing.
-
-    :param since: time of the confirmation, in seconds
-    :param until: when it may receive work again, in seconds
-    """
-
-    searcher: str
-    since: float
-    until: float
+def check_cold(counts: Iterable[ColdCount]) -> list[str]:
+    """Return a fault for each cold searcher that received too much."""
+    return [
+        f"{item.searcher} got {item.most} a second, cold"
+        for item in counts
+        if item.most > COLD_LIMIT
+    ]
 
 
 def check_answers(seen: Iterable[Seen]) -> list[str]:
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
@@ -1,14 +1,27 @@
 """Draws what is disturbed, when and for how long, from a seed."""
 
-from dataclasses import dataclass
 from random import Random
 
-from kumquatchute_standins.platform.controls import Fault
 from kumquatchute_standins.platform.controls import LoseAnswers
 from kumquatchute_standins.platform.controls import SetDeaf
 from kumquatchute_standins.platform.controls import SetDelay
 from kumquatchute_standins.platform.controls import SetDown
 from kumquatchute_standins.platform.controls import SetRate
+from kumquatchute_standins.platform.fleet.disturbances import ChangeManifest
+from kumquatchute_standins.platform.fleet.disturbances import CrashSearcher
+from kumquatchute_standins.platform.fleet.disturbances import Disturbance
+from kumquatchute_standins.platform.fleet.disturbances import DisturbLink
+from kumquatchute_standins.platform.fleet.disturbances import DisturbSearcher
+from kumquatchute_standins.platform.fleet.disturbances import DisturbStore
+from kumquatchute_standins.platform.fleet.disturbances import DrainSearcher
+from kumquatchute_standins.platform.fleet.disturbances import DropHistory
+from kumquatchute_standins.platform.fleet.disturbances import Evacuate
+from kumquatchute_standins.platform.fleet.disturbances import KillNode
+from kumquatchute_standins.platform.fleet.disturbances import PauseNode
+from kumquatchute_standins.platform.fleet.disturbances import ReloadNode
+from kumquatchute_standins.platform.fleet.disturbances import ResetLink
+from kumquatchute_standins.platform.fleet.disturbances import Step
+from kumquatchute_standins.platform.fleet.disturbances import StopNode
 from kumquatchute_standins.platform.fleet.proxy import LinkFaults
 from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
 
@@ -20,121 +33,6 @@
 EVERY_WRITE = 1_000
 
 
-@dataclass(frozen=True, slots=True)
-class DisturbStore:
-    """The store misbehaves."""
-
-    fault: Fault
-
-
-@dataclass(frozen=True, slots=True)
-class DropHistory:
-    """The store forgets its history."""
-
-
-@dataclass(frozen=True, slots=True)
-class DisturbLink:
-    """A link misbehaves, chosen by its number."""
-
-    link: int
-    faults: LinkFaults
-
-
-@dataclass(frozen=True, slots=True)
-class ResetLink:
-    """All connections of a link are reset."""
-
-    link: int
-
-
-@dataclass(frozen=True, slots=True)
-class DisturbSearcher:
-    """A searcher misbehaves, chosen by its number."""
-
-    searcher: int
-    faults: SearcherFaults
-
-
-@dataclass(frozen=True, slots=True)
-class CrashSearcher:
-    """A searcher crashes and comes back cold."""
-
-    searcher: int
-
-
-@dataclass(frozen=True, slots=True)
-class DrainSearcher:
-    """A searcher announces that it leaves, and stays."""
-
-    searcher: int
-
-
-@dataclass(frozen=True, slots=True)
-class PauseNode:
-    """A node stands still."""
-
-    node: int
-
-
-@dataclass(frozen=True, slots=True)
-class KillNode:
-    """A node is killed and started again."""
-
-    node: int
-
-
-@dataclass(frozen=True, slots=True)
-class StopNode:
-    """A node is stopped as planned and started again."""
-
-    node: int
-
-
-@dataclass(frozen=True, slots=True)
-class ReloadNode:
-    """A node is told that its settings file has changed."""
-
-    node: int
-
-
-@dataclass(frozen=True, slots=True)
-class ChangeManifest:
-    """A manifest with another set of shards takes effect."""
-
-
-@dataclass(frozen=True, slots=True)
-class Evacuate:
-    """A data centre is taken out and comes back."""
-
-    data_centre: str
-
-
-Disturbance = (
-    DisturbStore
-    | DropHistory
-    | DisturbLink
-    | ResetLink
-    | DisturbSearcher
-    | CrashSearcher
-    | DrainSearcher
-    | PauseNode
-    | KillNode
-    | StopNode
-    | ReloadNode
-    | ChangeManifest
-    | Evacuate
-)
-
-
-@dataclass(frozen=True, slots=True)
-class Step:
-    """A disturbance and its time, in seconds from the start."""
-
-    at: float
-    for_s: float
-    what: Disturbance
-
-
 def draw_plan(
     seed: int, nodes: int, searchers: int, links: int, data_centres: str
 ) -> tuple[Step, ...]:
