--- /dev/null
+++ b/packages/kumquatchute-bench/src/kumquatchute_bench/fleet_runs/measure.py
@@ -0,0 +1,117 @@
+"""Sums up what the callers of a run saw."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from kumquatchute_standins.platform.fleet.run import Query
+from kumquatchute_standins.platform.fleet.run import Record
+
+# Times are recorded in microseconds up to a minute, with three digits.
+MOST_US = 60_000_000
+DIGITS = 3
+US_PER_S = 1_000_000
+US_PER_MS = 1000
+REFUSALS = (408, 421, 429, 503)
+
+
+@dataclass(frozen=True, slots=True)
+class Second:
+    """The queries that were sent within one second.
+
+    :param p99_ms: of the answers, in milliseconds; None without any
+    :param coverage: mean share of the shards of the answers
+    """
+
+    second: int
+    sent: int
+    refused: int
+    failed: int
+    p99_ms: float | None
+    coverage: float
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """A whole run.
+
+    :param version: which nodes ran
+    :param wrong: answers that were not the caller's own
+    :param whole: answers that covered all shards
+    :param percentiles_ms: times of the answers, by percentile
+    :param per_searcher: requests that each searcher received
+    """
+
+    version: str
+    sent: int
+    answered: int
+    whole: int
+    refused: int
+    failed: int
+    wrong: int
+    percentiles_ms: dict[float, float]
+    per_searcher: dict[str, int]
+    seconds: tuple[Second, ...]
+    faults: tuple[str, ...]
+
+
+PERCENTILES = (50.0, 90.0, 99.0, 100.0)
+
+
+def summarise(version: str, record: Record) -> Summary:
+    """Return the figures of a run."""
+    histogram = _times(record.queries)
+    seen = [query.seen for query in record.queries]
+    answers = [item for item in seen if item.status == 200]
+    refused = sum(item.status in REFUSALS for item in seen)
+    return Summary(
+        version,
+        len(seen),
+        len(answers),
+        sum(item.covered == 1.0 for item in answers),
+        refused,
+        len(seen) - len(answers) - refused,
+        sum(item.fault is not None for item in answers),
+        {
+            percentile: histogram.get_value_at_percentile(percentile)
+            / US_PER_MS
+            for percentile in PERCENTILES
+        },
+        dict(Counter(arrival.searcher for arrival in record.arrivals)),
+        _seconds(record),
+        record.faults,
+    )
+
+
+def _seconds(record: Record) -> tuple[Second, ...]:
+    by_second: dict[int, list[Query]] = {}
+    for query in record.queries:
+        second = int(query.at - record.started)
+        by_second.setdefault(second, []).append(query)
+    return tuple(
+        _second(second, queries)
+        for second, queries in sorted(by_second.items())
+    )
+
+
+def _second(second: int, queries: list[Query]) -> Second:
+    answers = [item.seen for item in queries if item.seen.status == 200]
+    refused = sum(item.seen.status in REFUSALS for item in queries)
+    p99_ms = coverage = None
+    if answers:
+        times = _times(queries)
+        p99_ms = times.get_value_at_percentile(99.0) / US_PER_MS
+        coverage = sum(item.covered for item in answers) / len(answers)
+    failed = len(queries) - len(answers) - refused
+    return Second(
+        second, len(queries), refused, failed, p99_ms, coverage or 0.0
+    )
+
+
+def _times(queries: tuple[Query, ...] | list[Query]) -> HdrHistogram:
+    histogram = HdrHistogram(1, MOST_US, DIGITS)
+    for query in queries:
+        if query.seen.status == 200:
+            histogram.record_value(int(query.seen.took_s * US_PER_S))
+    return histogram
--- /dev/null
+++ b/packages/kumquatchute-bench/src/kumquatchute_bench/fleet_runs/tests/test_fleet_runs.py
@@ -0,0 +1,118 @@
+"""Descriptions of deployments and days, and the figures of a run."""
+
+from pathlib import Path
+
+import pytest
+
+from kumquatchute_bench.fleet_runs.core import play
+from kumquatchute_bench.fleet_runs.files import check_numbers
+from kumquatchute_bench.fleet_runs.files import Day
+from kumquatchute_bench.fleet_runs.files import Deployment
+from kumquatchute_bench.fleet_runs.files import DescriptionError
+from kumquatchute_bench.fleet_runs.files import read_day
+from kumquatchute_bench.fleet_runs.files import read_deployment
+from kumquatchute_bench.fleet_runs.measure import summarise
+from kumquatchute_bench.fleet_runs.report import write_report
+from kumquatchute_standins.platform.fleet.callers import Seen
+from kumquatchute_standins.platform.fleet import disturbances as ds
+from kumquatchute_standins.platform.fleet.run import Query
+from kumquatchute_standins.platform.fleet.run import Record
+from kumquatchute_standins.platform.fleet.searcher import Arrival
+from kumquatchute_standins.platform.fleet.site import Shape
+
+EXAMPLES = Path(__file__).parents[6] / "deploy" / "emulator"
+
+
+def seen(status: int | None, covered: float, took_s: float) -> Seen:
+    """Return the result of a query."""
+    return Seen("q", status, None, covered, None, took_s)
+
+
+def record(*queries: Query) -> Record:
+    """Return what a run of two seconds showed."""
+    arrivals = tuple(
+        Arrival(name, "sh00", "q", "/", 0.0) for name in ("i-1", "i-1", "i-2")
+    )
+    return Record(100.0, 102.0, queries, (), arrivals, (), (), 0.0, ())
+
+
+def test_figures_count_each_query_once() -> None:
+    """Guards against refusals that are counted as answers, or not at all."""
+    run = summarise(
+        "v",
+        record(
+            Query(100.1, seen(200, 1.0, 0.010)),
+            Query(100.2, seen(200, 0.5, 0.030)),
+            Query(101.1, seen(503, 0.0, 0.001)),
+            Query(101.2, seen(None, 0.0, 0.001)),
+        ),
+    )
+    assert (run.sent, run.answered, run.whole) == (4, 2, 1)
+    assert (run.refused, run.failed, run.wrong) == (1, 1, 0)
+    assert run.percentiles_ms[100.0] == pytest.approx(30, rel=0.01)
+    assert run.per_searcher == {"i-1": 2, "i-2": 1}
+    first, second = run.seconds
+    assert (first.sent, first.coverage) == (2, 0.75)
+    assert (second.refused, second.failed, second.p99_ms) == (1, 1, None)
+
+
+def test_report_shows_each_run_and_its_plot(tmp_path: Path) -> None:
+    """Guards against a comparison in which a run is missing."""
+    runs = tuple(
+        summarise(name, record(Query(100.1, seen(200, 1.0, 0.01))))
+        for name in ("old", "new")
+    )
+    write_report(tmp_path, "t", runs)
+    text = (tmp_path / "report.md").read_text()
+    assert "| old | 1 | 1 | 1 | 0 | 0 | 0 |" in text
+    assert "| new | 1 |" in text
+    assert (tmp_path / "run-1.png").stat().st_size > 0
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[]",
+        "length_s: x",
+        "length_s: 5\nsteps: [{at: 1, kind: store_explodes}]",
+        "length_s: 5\nsteps: [{at: 1, kind: store_down, colour: 3}]",
+        "length_s: [",
+    ],
+)
+def test_faulty_day_is_refused_before_anything_starts(
+    tmp_path: Path, text: str
+) -> None:
+    """Guards against a day that silently leaves a step out."""
+    path = tmp_path / "day.yaml"
+    path.write_text(text)
+    with pytest.raises(DescriptionError):
+        read_day(path)
+
+
+def test_examples_describe_what_they_say() -> None:
+    """Guards against examples that no longer fit the tool."""
+    deployment = read_deployment(EXAMPLES / "four-nodes.yaml")
+    assert deployment.shape.nodes == ("a", "a", "b", "c")
+    day = read_day(EXAMPLES / "rough.yaml")
+    assert ds.KillNode(1) in [step.what for step in day.steps]
+    check_numbers(day, nodes=4, searchers=26, links=30)
+    assert read_day(EXAMPLES / "calm.yaml").steps == ()
+
+
+def test_step_on_something_that_does_not_exist_is_refused() -> None:
+    """Guards against a run that ends in the middle."""
+    day = Day(5.0, (ds.Step(1.0, 1.0, ds.KillNode(4)),))
+    with pytest.raises(DescriptionError, match="number 4 of 4"):
+        check_numbers(day, nodes=4, searchers=1, links=1)
+
+
+def test_two_versions_are_played_on_the_same_day(tmp_path: Path) -> None:
+    """Guards against a comparison that plays one version twice."""
+    shape = Shape(nodes=("a", "b"), shards=3, proxied=True)
+    day = Day(2.0, (ds.Step(0.5, 0.5, ds.ResetLink(2)),))
+    checkout = Path(__file__).parents[6]
+    runs = list(
+        play(Deployment(shape, 10.0), day, tmp_path, (checkout,), seed=3)
+    )
+    assert {run.version for run in runs} == {"this checkout", str(checkout)}
+    assert all(run.sent == 20 and not run.wrong for run in runs)
