--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/run.py
@@ -297,3 +297,4 @@
         await self.site.wait_ended(node)
         await self.site.start_node(node)
         await self.site.wait_ready(node)
+        self.site.put_node(node)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
@@ -38,7 +38,7 @@
 ) -> tuple[Step, ...]:
     """Return the steps of a seed, in the order of their times.
 
-    :param links: number of links; those to the store come first
+    :param links: number of links: to the store, to searchers and to nodes
     """
     rng = Random(seed)
     steps = []
