Decode the catalog's entries apart from the gateway's types

A node on the users' platform imported the product's catalog through platform/decoding.py, which it does not use. The entries that the catalog reads are decoded in platform/entries.py. A head that is refused with 431 leaves a log line, as all refusals do, and the line of a request whose time limit has passed names its route.

--- a/packages/kumquatchuted/src/kumquatchuted/front/router.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/router.py
@@ -78,7 +78,10 @@
         times = self._times(route, req, started)
         if times.give_up_at <= started:
             return refuse(
-                req, ErrorKind.UNAVAILABLE, "the time limit has passed"
+                req,
+                ErrorKind.UNAVAILABLE,
+                "the time limit has passed",
+                route.name,
             )
         match route.destination:
             case AllShards() as shards:
@@ -164,11 +167,17 @@
         return service
 
 
-def refuse(req: CallerRequest, kind: ErrorKind, reason: str) -> Failure:
-    """Log and return the failure of a request that was not started."""
+def refuse(
+    req: CallerRequest, kind: ErrorKind, reason: str, route: str = "None"
+) -> Failure:
+    """Log and return the failure of a request that was not started.
+
+    :param route: name of its route, if that is known
+    """
     log.warning(
-        "id={} route=None manifest=None attempts=0 outcome={} ms=0 {}",
+        "id={} route={} manifest=None attempts=0 outcome={} ms=0 {}",
         req.request_id,
+        route,
         kind.value,
         reason,
     )
--- a/packages/kumquatchuted/src/kumquatchuted/http/server.py
+++ b/packages/kumquatchuted/src/kumquatchuted/http/server.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 import socket
 
+from logbook import Logger
 import msgspec
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -34,6 +35,8 @@
     ErrorKind.TOO_LARGE, "the head of the request is too large", not_run=True
 )
 
+log = Logger("http")
+
 
 @dataclass(frozen=True, slots=True)
 class HeadBounds:
@@ -109,6 +112,7 @@
             return
         self._cancel_timer()
         self._in_head = False
+        log.warning("Http: a head of {} bytes is refused.", self._head_bytes)
         self._answer_and_close(b"431 Request Header Fields Too Large", LARGE)
 
     def _answer_and_close(self, status: bytes, failure: Failure) -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/platform/decoding.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/decoding.py
@@ -7,10 +7,6 @@
 import msgspec
 
 from kumquatchute_model.address import parse_address
-from kumquatchute_model.errors import ErrorKind
-from kumquatchute_model.errors import Failure
-from kumquatchute_model.shards import Searcher as PlacedSearcher
-from kumquatchuted.catalog.events import Entry
 from kumquatchuted.membership.messages import Node
 from kumquatchuted.membership.messages import Searcher
 from kumquatchuted.membership.messages import SearcherState
@@ -29,12 +25,6 @@
 NODE_KIND = "querynodes"
 DEFAULT_MAX_ATTEMPTS = 1
 DEFAULT_MAX_CONNECTIONS = 1_000_000
-# Requests at once that a cold searcher serves, where its entry is silent.
-DEFAULT_COLD_SLOTS = 1
-# Connections per searcher that the brief names.
-DEFAULT_PLACED_CONNECTIONS = 25
-# Larger numbers of slots or connections are faults of the writer.
-MAX_LIMIT = 999_999
 MS_PER_S = 1000
 
 
@@ -80,7 +70,9 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-class _Server(msgspec.Struct, rename="camel"):
+class ServerEntry(msgspec.Struct, rename="camel"):
+    """What a searcher writes of itself."""
+
     service: str
     address: str
     zone: str
@@ -93,14 +85,6 @@
     born: int | None = None
 
 
-class _PlacedServer(_Server, rename="camel"):
-    # What the platform does not name, as the product's own searchers write
-    # it: the host, and the limits that a manifest holds for others.
-    host: str = ""
-    cold_slots: int = DEFAULT_COLD_SLOTS
-    max_conns: int = DEFAULT_PLACED_CONNECTIONS
-
-
 class _Node(msgspec.Struct, rename="camel"):
     address: str
     data_centre: str
@@ -140,7 +124,7 @@
 
 def decode_searcher(name: str, item: object) -> Searcher | None:
     """Decode the entry that a searcher wrote of itself."""
-    spec = _spec(item, _Server)
+    spec = _spec(item, ServerEntry)
     if spec is None:
         return None
     address = parse_address(spec.address)
@@ -148,7 +132,7 @@
         return None
     if spec.warmup_left_ms < 0 or not spec.service:
         return None
-    state = _state(spec.state)
+    state = state_of(spec.state)
     if state is None:
         return None
     return Searcher(
@@ -164,38 +148,6 @@
     )
 
 
-def decode_entry(name: str, body: bytes) -> Entry | Failure:
-    """Decode the entry of a searcher with its place and its limits.
-
-    :param body: JSON of what the searcher wrote
-    """
-    try:
-        spec = msgspec.json.decode(body, type=_PlacedServer)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
-        return Failure(ErrorKind.MALFORMED, str(exc))
-    address = parse_address(spec.address)
-    if address is None or not address.port or not spec.service:
-        reason = "an entry needs a service, an IP address and a port"
-        return Failure(ErrorKind.MALFORMED, reason)
-    limits = (spec.capacity, spec.cold_slots, spec.max_conns)
-    if min(limits) < 1 or max(limits) > MAX_LIMIT:
-        reason = f"slots and connections are from 1 to {MAX_LIMIT}"
-        return Failure(ErrorKind.MALFORMED, reason)
-    state = _state(spec.state)
-    if state is None:
-        return Failure(ErrorKind.MALFORMED, "the state is unknown")
-    searcher = PlacedSearcher(
-        name,
-        spec.service,
-        spec.address,
-        spec.host,
-        spec.zone,
-        *limits,
-        leaving=state is SearcherState.DRAINING,
-    )
-    return Entry(searcher, spec.born)
-
-
 def decode_name(name: str, item: object) -> str:
     """Decode an object of which only the name counts."""
     return name
@@ -228,7 +180,8 @@
         return None
 
 
-def _state(text: str) -> SearcherState | None:
+def state_of(text: str) -> SearcherState | None:
+    """Return the state that a word stands for, None if it is unknown."""
     try:
         return SearcherState(text)
     except ValueError:
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/entries.py
@@ -0,0 +1,64 @@
+"""Decodes the entries of searchers for the product's own catalog.
+
+The product's searchers add to the platform's fields what the platform does
+not name.
+"""
+
+import msgspec
+
+from kumquatchute_model.address import parse_address
+from kumquatchute_model.errors import ErrorKind
+from kumquatchute_model.errors import Failure
+from kumquatchute_model.shards import Searcher
+from kumquatchuted.catalog.events import Entry
+from kumquatchuted.membership.messages import SearcherState
+from kumquatchuted.platform.decoding import ServerEntry
+from kumquatchuted.platform.decoding import state_of
+from kumquatchuted.platform.wire import MALFORMED
+
+# Requests at once that a cold searcher serves, where its entry is silent.
+DEFAULT_COLD_SLOTS = 1
+# Connections per searcher that the brief names.
+DEFAULT_CONNECTIONS = 25
+# Larger numbers of slots or connections are faults of the writer.
+MAX_LIMIT = 999_999
+
+
+class _PlacedEntry(ServerEntry, rename="camel"):
+    # What the platform does not name, as the product's own searchers write
+    # it: the host, and the limits that a manifest holds for others.
+    host: str = ""
+    cold_slots: int = DEFAULT_COLD_SLOTS
+    max_conns: int = DEFAULT_CONNECTIONS
+
+
+def decode_entry(name: str, body: bytes) -> Entry | Failure:
+    """Decode the entry of a searcher with its place and its limits.
+
+    :param body: JSON of what the searcher wrote
+    """
+    try:
+        spec = msgspec.json.decode(body, type=_PlacedEntry)
+    except MALFORMED as exc:
+        return Failure(ErrorKind.MALFORMED, str(exc))
+    address = parse_address(spec.address)
+    if address is None or not address.port or not spec.service:
+        reason = "an entry needs a service, an IP address and a port"
+        return Failure(ErrorKind.MALFORMED, reason)
+    limits = (spec.capacity, spec.cold_slots, spec.max_conns)
+    if min(limits) < 1 or max(limits) > MAX_LIMIT:
+        reason = f"slots and connections are from 1 to {MAX_LIMIT}"
+        return Failure(ErrorKind.MALFORMED, reason)
+    state = state_of(spec.state)
+    if state is None:
+        return Failure(ErrorKind.MALFORMED, "the state is unknown")
+    searcher = Searcher(
+        name,
+        spec.service,
+        spec.address,
+        spec.host,
+        spec.zone,
+        *limits,
+        leaving=state is SearcherState.DRAINING,
+    )
+    return Entry(searcher, spec.born)
