--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_site_shapes.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_site_shapes.py
@@ -18,23 +18,23 @@
 USED_NODES = 3
 
 SHAPES = {
-    "one node, one searcher a shard": Shape(
+    "one-node-one-searcher-a-shard": Shape(
         nodes=("a",), shards=3, replicas=("a",), singles=("a",)
     ),
-    "six data centres, searchers in three": Shape(
+    "six-data-centres-searchers-in-three": Shape(
         nodes=tuple("abcdef"), shards=12, replicas=tuple("ace"), singles=("b",)
     ),
-    "twelve nodes, few shards": Shape(
+    "twelve-nodes-few-shards": Shape(
         nodes=tuple("abcabcabcabc"), shards=3, replicas=("a", "b")
     ),
-    "sixty shards": Shape(nodes=("a", "b"), shards=60, replicas=("a", "b")),
-    "no searcher near any caller": Shape(
+    "sixty-shards": Shape(nodes=("a", "b"), shards=60, replicas=("a", "b")),
+    "no-searcher-near-any-caller": Shape(
         nodes=("c", "d"), shards=6, replicas=("a", "b"), singles=("a",)
     ),
-    "one service, no queries": Shape(
+    "one-service-no-queries": Shape(
         nodes=("a", "b"), shards=0, replicas=(), singles=("a", "a", "b")
     ),
-    "few descriptors": Shape(
+    "few-descriptors": Shape(
         nodes=("a", "b"), shards=30, replicas=("a", "b"), descriptors=96
     ),
 }
