--- a/packages/kumquatchute-bench/src/kumquatchute_bench/fleet_runs/files.py
+++ b/packages/kumquatchute-bench/src/kumquatchute_bench/fleet_runs/files.py
@@ -8,10 +8,10 @@
 import yaml
 
 from kumquatchute_standins.platform.controls import LoseAnswers
-from kumquatchute_standins.platform.controls import SetDeaf
 from kumquatchute_standins.platform.controls import SetDelay
 from kumquatchute_standins.platform.controls import SetDown
 from kumquatchute_standins.platform.controls import SetRate
+from kumquatchute_standins.platform.controls import SilenceWatches
 from kumquatchute_standins.platform.fleet import disturbances as ds
 from kumquatchute_standins.platform.fleet.proxy import LinkFaults
 from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
@@ -175,7 +175,7 @@
         case "loses_answers":
             return ds.DisturbStore(LoseAnswers(EVERY_WRITE))
         case "silences_watches":
-            return ds.DisturbStore(SetDeaf())
+            return ds.DisturbStore(SilenceWatches())
         case "forgets_history":
             return ds.DropHistory()
     return None
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/codec.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/codec.py
@@ -14,11 +14,11 @@
 from kumquatchute_standins.platform.controls import ReadCounts
 from kumquatchute_standins.platform.controls import ResetCounts
 from kumquatchute_standins.platform.controls import ServeOlder
-from kumquatchute_standins.platform.controls import SetDeaf
 from kumquatchute_standins.platform.controls import SetDelay
 from kumquatchute_standins.platform.controls import SetDown
 from kumquatchute_standins.platform.controls import SetEndpointLag
 from kumquatchute_standins.platform.controls import SetRate
+from kumquatchute_standins.platform.controls import SilenceWatches
 from kumquatchute_standins.platform.messages import Item
 from kumquatchute_standins.platform.messages import Page
 from kumquatchute_standins.platform.messages import StatusError
@@ -29,7 +29,7 @@
     "set_delay": SetDelay,
     "lose_answers": LoseAnswers,
     "execute_late": ExecuteLate,
-    "set_deaf": SetDeaf,
+    "silence_watches": SilenceWatches,
     "set_endpoint_lag": SetEndpointLag,
     "serve_older": ServeOlder,
     "set_rate": SetRate,
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/controls.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/controls.py
@@ -95,7 +95,7 @@
 
 
 @dataclass(frozen=True)
-class SetDeaf:
+class SilenceWatches:
     """Freeze all watches, also those that begin before ``ClearFaults``."""
 
 
@@ -126,7 +126,7 @@
     | ExecuteLate
     | SetEndpointLag
     | ServeOlder
-    | SetDeaf
+    | SilenceWatches
     | SetRate
     | ClearFaults
 )
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/faults.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/faults.py
@@ -9,11 +9,11 @@
 from kumquatchute_standins.platform.controls import Fault
 from kumquatchute_standins.platform.controls import LoseAnswers
 from kumquatchute_standins.platform.controls import ServeOlder
-from kumquatchute_standins.platform.controls import SetDeaf
 from kumquatchute_standins.platform.controls import SetDelay
 from kumquatchute_standins.platform.controls import SetDown
 from kumquatchute_standins.platform.controls import SetEndpointLag
 from kumquatchute_standins.platform.controls import SetRate
+from kumquatchute_standins.platform.controls import SilenceWatches
 from kumquatchute_standins.platform.messages import Loss
 
 
@@ -36,7 +36,7 @@
 
     :param lose: number of answers to writes that are still to be lost
     :param late: writes that are still to be carried out late
-    :param deaf: whether new watches are never answered
+    :param watches_silent: whether new watches are never answered
     """
 
     down: DownMode | None = None
@@ -44,7 +44,7 @@
     lose: int = 0
     loss: Loss = Loss.RESET
     late: ExecuteLate = ExecuteLate(0)
-    deaf: bool = False
+    watches_silent: bool = False
     endpoint_lag_s: float = 0.0
     older: ServeOlder = ServeOlder()
     reads: Bucket = Bucket()
@@ -65,8 +65,8 @@
             return replace(faults, lose=count, loss=loss)
         case ExecuteLate():
             return replace(faults, late=fault)
-        case SetDeaf():
-            return replace(faults, deaf=True)
+        case SilenceWatches():
+            return replace(faults, watches_silent=True)
         case SetEndpointLag(lag_s=lag_s):
             return replace(faults, endpoint_lag_s=lag_s)
         case ServeOlder():
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_fleet_site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_fleet_site.py
@@ -12,8 +12,8 @@
 
 from kumquatchute_standins.platform.controls import ClearFaults
 from kumquatchute_standins.platform.controls import DropHistory
-from kumquatchute_standins.platform.controls import SetDeaf
 from kumquatchute_standins.platform.controls import SetDown
+from kumquatchute_standins.platform.controls import SilenceWatches
 from kumquatchute_standins.platform.fleet.callers import call
 from kumquatchute_standins.platform.fleet.callers import Seen
 from kumquatchute_standins.platform.fleet.callers import steady
@@ -194,7 +194,7 @@
     on_site(tmp_path, scenario)
 
 
-def test_store_outage_and_deaf_watches_do_not_stop_service(
+def test_store_outage_and_silent_watches_do_not_stop_service(
     tmp_path: Path,
 ) -> None:
     """Guards against a node that fails with the store or stays blind."""
@@ -204,7 +204,7 @@
         seen = await steady(queries(site, session), PER_S, 3)
         assert share_served(seen) == 1.0
         site.store.disturb(ClearFaults())
-        site.store.disturb(SetDeaf())
+        site.store.disturb(SilenceWatches())
         await asyncio.sleep(1.5)
         site.store.disturb(DropHistory())
         site.publish(site.shard_names[:2])
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/task.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/task.py
@@ -15,7 +15,7 @@
 from kumquatchute_standins.platform.controls import FreezeWatches
 from kumquatchute_standins.platform.controls import ReadCounts
 from kumquatchute_standins.platform.controls import ResetCounts
-from kumquatchute_standins.platform.controls import SetDeaf
+from kumquatchute_standins.platform.controls import SilenceWatches
 from kumquatchute_standins.platform.faults import Faults
 from kumquatchute_standins.platform.faults import set_fault
 from kumquatchute_standins.platform.faults import take
@@ -128,9 +128,9 @@
                 return self._position(number)
             case FreezeWatches():
                 self._freeze()
-            case SetDeaf():
+            case SilenceWatches():
                 self._freeze()
-                self._faults = replace(self._faults, deaf=True)
+                self._faults = set_fault(self._faults, request, self._clock())
             case DropHistory():
                 self._table.drop_history()
             case (
@@ -239,7 +239,10 @@
         number = self._next_watch
         self._next_watch += 1
         self._watches[number] = Watch(
-            request.kind, request.revision, request.post, self._faults.deaf
+            request.kind,
+            request.revision,
+            request.post,
+            self._faults.watches_silent,
         )
         return WatchOpened(number)
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/tests/test_platform_server.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/tests/test_platform_server.py
@@ -12,10 +12,10 @@
 from kumquatchute_standins.platform.controls import DropHistory
 from kumquatchute_standins.platform.controls import LoseAnswers
 from kumquatchute_standins.platform.controls import ServeOlder
-from kumquatchute_standins.platform.controls import SetDeaf
 from kumquatchute_standins.platform.controls import SetDown
 from kumquatchute_standins.platform.controls import SetEndpointLag
 from kumquatchute_standins.platform.controls import SetRate
+from kumquatchute_standins.platform.controls import SilenceWatches
 from kumquatchute_standins.platform.datafile import load
 from kumquatchute_standins.platform.datafile import save
 from kumquatchute_standins.platform.messages import DeleteObject
@@ -190,7 +190,7 @@
     """Guards against a fault that ends watches in place of silencing them."""
 
     async def scenario(server, http):
-        await server.control(SetDeaf())
+        await server.control(SilenceWatches())
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(0.3):
                 await watch(http, 1, wait_ms=100)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
@@ -3,10 +3,10 @@
 from random import Random
 
 from kumquatchute_standins.platform.controls import LoseAnswers
-from kumquatchute_standins.platform.controls import SetDeaf
 from kumquatchute_standins.platform.controls import SetDelay
 from kumquatchute_standins.platform.controls import SetDown
 from kumquatchute_standins.platform.controls import SetRate
+from kumquatchute_standins.platform.controls import SilenceWatches
 from kumquatchute_standins.platform.fleet.disturbances import ChangeManifest
 from kumquatchute_standins.platform.fleet.disturbances import CrashSearcher
 from kumquatchute_standins.platform.fleet.disturbances import Disturbance
@@ -63,7 +63,7 @@
         DisturbStore(rng.choice((SetDown(), SetRate(0.0, 0.0)))),
         DisturbStore(SetDelay(1000 * rng.uniform(0.05, 0.4))),
         DisturbStore(LoseAnswers(EVERY_WRITE)),
-        DisturbStore(SetDeaf()),
+        DisturbStore(SilenceWatches()),
         DropHistory(),
         DisturbLink(link, LinkFaults(delay_s=rng.uniform(0.01, 0.2))),
         DisturbLink(link, LinkFaults(drop_requests=True)),
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/tests/test_soak.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/tests/test_soak.py
@@ -9,8 +9,8 @@
 
 # The seeds from 10,000 on disturb links between nodes too.
 SHORT_RUN = (1, 2, 3, 10_001, 10_002)
-# 122 and 147: a searcher restarted behind a proxy while the store was deaf,
-# and got more than a cold one bears.
+# 122 and 147: a searcher restarted behind a proxy while the watches of the
+# store were silent, and got more than a cold one bears.
 FAILED_ONCE = (122, 147)
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_fleet.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_fleet.py
@@ -61,9 +61,9 @@
 def test_searcher_that_ends_new_connections_counts_as_gone() -> None:
     """Guards against full load while the store cannot tell of a restart.
 
-    Seeds 122 and 147 of the soak: the store was deaf, a searcher crashed
-    behind a proxy that accepts connections, was asked for each query all the
-    same, and got 21 requests a second when it was back.
+    Seeds 122 and 147 of the soak: the watches of the store were silent, a
+    searcher crashed behind a proxy that accepts connections, was asked for
+    each query all the same, and got 21 requests a second when it was back.
     """
     found = fleet(10)
     found.attempt_started("i-1", 1.0)
