--- /dev/null
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/entries.py
@@ -0,0 +1,32 @@
+"""Entries that searchers write of themselves, in the platform's form."""
+
+from typing import Any
+
+
+def server_entry(
+    service: str,
+    address: str,
+    data_centre: str,
+    slots: int,
+    born: int,
+    state: str = "ready",
+    cold_ms: int = 0,
+) -> dict[str, Any]:
+    """Return the entry of a searcher.
+
+    :param address: IP address and port
+    :param slots: requests that it runs at a time
+    :param born: Unix time of its start in milliseconds
+    :param cold_ms: how long it stays cold, in milliseconds
+    """
+    return {
+        "service": service,
+        "address": address,
+        "zone": data_centre,
+        "version": "v1",
+        "capacity": slots,
+        "state": state,
+        "warmupLeftMs": cold_ms,
+        "seq": 1,
+        "born": born,
+    }
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
@@ -8,7 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from kumquatchute_standins.platform.entries import server_entry
+
 RECORD_BYTES = 16
+# Requests that a searcher says it runs at a time.
+SLOTS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,17 +77,15 @@
 
     def entry(self, state: str = "ready", cold_ms: int = 0) -> dict:
         """Return what the searcher registers of itself."""
-        return {
-            "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
-            "zone": self.data_centre,
-            "version": "v1",
-            "capacity": 2,
-            "state": state,
-            "warmupLeftMs": cold_ms,
-            "seq": 1,
-            "born": self.started,
-        }
+        return server_entry(
+            self.service,
+            f"127.0.0.1:{self.port}",
+            self.data_centre,
+            SLOTS,
+            self.started,
+            state,
+            cold_ms,
+        )
 
     async def start(self) -> None:
         """Listen."""
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/manifests.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/manifests.py
@@ -11,6 +11,7 @@
 
 from typing import Any
 
+from kumquatchute_standins.platform.entries import server_entry
 from kumquatchute_standins.searcher.config import IndexData
 from kumquatchute_standins.searcher.config import Profile
 
@@ -45,17 +46,16 @@
     :param address: IP address and port
     :param born: Unix time of its start in milliseconds
     """
-    return {
-        "service": profile.service,
-        "address": address,
-        "zone": profile.dc,
+    entry = server_entry(
+        profile.service,
+        address,
+        profile.dc,
+        profile.slots,
+        born,
+        "draining" if draining else "ready",
+    )
+    return entry | {
         "host": profile.host,
-        "version": "1",
-        "capacity": profile.slots,
         "coldSlots": profile.cold_slots,
         "maxConns": profile.max_conns,
-        "state": "draining" if draining else "ready",
-        "warmupLeftMs": 0,
-        "seq": 1,
-        "born": born,
     }
