Log listings with their revision and measure the age of each topic

Change: each listing, failed watch and lost history is logged with the revision and the time since the topic was last confirmed; the gauge kumquatchute_topic_age_seconds shows that time for each topic. No decision depends on it.

--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -112,8 +112,10 @@
     transport = Transport()
     client = ObjectClient(transport, relay)
     followers = _build_followers(client, membership, rng, clock)
+    for topic, follower in followers.items():
+        metrics.report_topic_age(topic.value, follower.state_age_s)
     membership.restart_callbacks = tuple(
-        follower.restart for follower in followers
+        follower.restart for follower in followers.values()
     )
     router = Router(
         front.state,
@@ -175,7 +177,7 @@
             partials.run,
             front.run,
             reload.run,
-            *(follower.run for follower in followers),
+            *(follower.run for follower in followers.values()),
             lambda: run_then_wait(register),
         ),
         open=open_listeners,
@@ -190,18 +192,18 @@
     membership: MembershipTask,
     rng: random.Random,
     clock: Callable[[], float],
-) -> list[Follower]:
+) -> dict[Topic, Follower]:
     post, sources = membership.mailbox.post, membership.sources
-    other_followers = [
-        Follower(
+    other_followers = {
+        topic: Follower(
             topic, client, decoder, sources, post, rng, clock, LONG_WATCH_S
         )
         for topic, decoder in TOPIC_DECODERS.items()
         if topic is not Topic.MANIFEST
-    ]
+    }
 
     def restart_other_followers() -> None:
-        for follower in other_followers:
+        for follower in other_followers.values():
             follower.restart()
 
     manifest_follower = Follower(
@@ -215,4 +217,4 @@
         SHORT_WATCH_S,
         restart_other_followers,
     )
-    return [manifest_follower, *other_followers]
+    return {Topic.MANIFEST: manifest_follower, **other_followers}
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/metrics.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/metrics.py
@@ -1,7 +1,10 @@
 """Metrics of a node on the users' platform."""
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry
 from prometheus_client import Counter
+from prometheus_client import Gauge
 from prometheus_client import generate_latest
 from prometheus_client import Histogram
 
@@ -36,7 +39,12 @@
             ["event", "label"],
             registry=self._registry,
         )
-
+        self._topic_ages = Gauge(
+            "kumquatchute_topic_age_seconds",
+            "Time since a source last confirmed the state of a topic.",
+            ["topic"],
+            registry=self._registry,
+        )
         self._durations = Histogram(
             "kumquatchute_request_seconds",
             "Time from the receipt of a request to its end.",
@@ -61,6 +69,13 @@
         """
         self._events.labels(event, label).inc()
 
+    def report_topic_age(self, topic: str, age_s: Callable[[], float]) -> None:
+        """Render the age of a topic's state, in seconds, as a gauge.
+
+        :param age_s: returns the age at each rendering
+        """
+        self._topic_ages.labels(topic).set_function(age_s)
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self._registry)
--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -82,6 +82,7 @@
         self._has_state = False
         self._failed_at: dict[Source, float] = {}
         self._active_source: Source | None = None
+        self._confirmed_at: float | None = None
         self._restart_requested = asyncio.Event()
 
     def restart(self) -> None:
@@ -92,6 +93,16 @@
         """
         self._restart_requested.set()
 
+    def state_age_s(self) -> float:
+        """Return the time since a source last confirmed the state, in seconds.
+
+        A listing confirms it, and so does each watch that ends, with changes
+        or without. Before the first listing the age is infinite.
+        """
+        if self._confirmed_at is None:
+            return float("inf")
+        return self._clock() - self._confirmed_at
+
     async def run(self) -> None:
         """Follow the first source that responds, until cancelled."""
         while True:
@@ -114,6 +125,14 @@
                 failure = listing
                 continue
             self._report_success(source)
+            log.info(
+                "topic listed topic={} address={} revision={} age_s={:.2f}",
+                self._topic.value,
+                source.address,
+                listing.revision,
+                self.state_age_s(),
+            )
+            self._confirmed_at = self._clock()
             self._has_state = True
             self._post(TopicListed(self._topic, listing.objects))
             await self._watch(source, listing.revision, source != sources[0])
@@ -208,19 +227,29 @@
             if result is None:
                 continue
             if isinstance(result, HistoryGone):
+                log.info(
+                    "history gone topic={} address={} revision={}",
+                    self._topic.value,
+                    source.address,
+                    revision,
+                )
                 return
             if isinstance(result, Failure):
                 # The source may still respond to list calls, so it does not
                 # count as failed.
                 log.info(
-                    "watch failed topic={} address={} cause={}",
+                    "watch failed topic={} address={} revision={} age_s={:.2f}"
+                    " cause={}",
                     self._topic.value,
                     source.address,
+                    revision,
+                    self.state_age_s(),
                     result.reason,
                 )
                 self._on_failure()
                 return
             revision = result.revision
+            self._confirmed_at = self._clock()
             if result.written or result.removed:
                 self._post(
                     TopicChanged(self._topic, result.written, result.removed)
--- a/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
@@ -70,6 +70,7 @@
     store: ScriptedStore,
     on_failure: Callable = lambda: None,
     sources: Sequence[Source] = (STORE,),
+    clock: Callable[[], float] = lambda: 0.0,
 ) -> tuple[list, Follower, asyncio.Task]:
     """Run a follower until it waits in the last watch.
 
@@ -87,7 +88,7 @@
         lambda: sources,
         posted.append,
         random.Random(1),
-        lambda: 0.0,
+        clock,
         2.0,
         on_failure,
         no_sleep,
@@ -225,6 +226,30 @@
     asyncio.run(scenario())
 
 
+def test_age_of_the_state_is_the_time_since_the_last_response() -> None:
+    """Guards against a silent watch that no metric shows.
+
+    The age starts at a listing or at the end of a watch, and grows while a
+    watch is open.
+    """
+
+    async def scenario() -> None:
+        now = [100.0]
+        store = ScriptedStore([DOWN, Listing((), 5)], [Changes((), (), 6)])
+        _, follower, task = await run_follower(store, clock=lambda: now[0])
+        assert follower.state_age_s() == 0.0
+        now[0] += 15.0
+        assert follower.state_age_s() == 15.0
+        store.watches.append(Changes((), (), 7))
+        follower.restart()
+        for _ in range(50):
+            await asyncio.sleep(0)
+        task.cancel()
+        assert follower.state_age_s() == 0.0
+
+    asyncio.run(scenario())
+
+
 def test_watch_failure_calls_on_failure() -> None:
     """Guards against watches of other topics that stopped delivering too.
 
