Add a failing test of a relay that passes on an old manifest

A node listed version 2 of the manifest from another node, which had read version 6 elsewhere and had just read the searchers from the store. Its relay counts as current for every kind after a response of the store to any of them.

--- a/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_relay.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_relay.py
@@ -135,6 +135,22 @@
     assert asyncio.run(relay.watch("servers", 5, 0.0)).status == 503
 
 
+def test_relay_is_unavailable_for_a_kind_that_it_no_longer_reads() -> None:
+    """Guards against an old manifest that a relay passes on as current.
+
+    After an outage the node has read another kind from the store, and this one
+    not yet or from another node.
+    """
+    relay, clock = make_relay()
+    relay.record_listing("config", {"main": make_item("main", 2)}, 5)
+    clock.now += FRESHNESS_S - 0.1
+    relay.record_changes("servers", {}, 9)
+    clock.now += 0.2
+    assert relay.list_objects("config").status == 503
+    assert asyncio.run(relay.watch("config", 5, 0.0)).status == 503
+    assert relay.list_objects("servers").status == 200
+
+
 def test_relay_without_the_store_serves_old_state_on_request() -> None:
     """Guards against a node that cannot start while the store is down.
 
