--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/controls.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/controls.py
@@ -100,7 +100,12 @@
 
 @dataclass(frozen=True)
 class SilenceWatches:
-    """Freeze all open watches, and those that open until ``ClearFaults``."""
+    """Freeze the open watches, and those that open until ``ClearFaults``.
+
+    :param kind: only watches of this kind; empty for all kinds
+    """
+
+    kind: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/faults.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/faults.py
@@ -36,7 +36,7 @@
 
     :param answers_to_lose: how many more answers to writes are lost
     :param late_writes: how many more writes are carried out late
-    :param watches_silent: whether new watches stay unanswered
+    :param silent_watches: which new watches stay unanswered, None for none
     """
 
     down: DownMode | None = None
@@ -44,7 +44,7 @@
     answers_to_lose: int = 0
     loss: Loss = Loss.RESET
     late_writes: ExecuteLate = ExecuteLate(0)
-    watches_silent: bool = False
+    silent_watches: SilenceWatches | None = None
     endpoint_lag_s: float = 0.0
     older_state: ServeOlder = ServeOlder()
     read_bucket: TokenBucket = TokenBucket()
@@ -66,7 +66,7 @@
         case ExecuteLate():
             return replace(faults, late_writes=fault)
         case SilenceWatches():
-            return replace(faults, watches_silent=True)
+            return replace(faults, silent_watches=fault)
         case SetEndpointLag(lag_s=lag_s):
             return replace(faults, endpoint_lag_s=lag_s)
         case ServeOlder():
@@ -81,6 +81,11 @@
             return Faults()
 
 
+def is_silent(silence: SilenceWatches | None, kind: str) -> bool:
+    """Return whether a watch of a kind stays unanswered."""
+    return silence is not None and silence.kind in ("", kind)
+
+
 def take_token(bucket: TokenBucket, now: float) -> TokenBucket | None:
     """Return the bucket with one token less, None if it has no token.
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_fleet_site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_fleet_site.py
@@ -1,13 +1,10 @@
 """Tests of real nodes against the emulated platform."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections import Counter
 from pathlib import Path
 import signal
 
-import aiohttp
 import pytest
 
 from kumquatchute_standins.platform.controls import ClearFaults
@@ -20,35 +17,14 @@
 from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
 from kumquatchute_standins.platform.fleet.site import FleetSite
 from kumquatchute_standins.platform.fleet.site import Shape
+from kumquatchute_standins.platform.fleet.tests.scenarios import query_sender
+from kumquatchute_standins.platform.fleet.tests.scenarios import run_on_site
 
 QUERIES_PER_S = 25.0
 # Time in which every node applies a change in the store.
 APPLY_S = 3.0
 
 
-def run_on_site(
-    folder: Path,
-    scenario: Callable[[FleetSite, aiohttp.ClientSession], Awaitable],
-    shape: Shape | None = None,
-) -> None:
-    """Run a scenario on a site of real nodes."""
-
-    async def run() -> None:
-        async with FleetSite(shape or Shape(), folder) as site:
-            async with aiohttp.ClientSession() as session:
-                await scenario(site, session)
-
-    asyncio.run(run())
-
-
-def query_sender(
-    site: FleetSite, session: aiohttp.ClientSession, node: int = 0
-) -> Callable[[], Awaitable[CallResult]]:
-    """Return a function that sends a query over all shards."""
-    port = site.nodes[node].front_port
-    return lambda: send_request(session, port, "/notes/1", site.shard_names)
-
-
 def count_errors(results: list[CallResult]) -> Counter:
     """Count the errors of the answers."""
     return Counter(result.error for result in results if result.error)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/task.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/task.py
@@ -17,6 +17,7 @@
 from kumquatchute_standins.platform.controls import ResetCounts
 from kumquatchute_standins.platform.controls import SilenceWatches
 from kumquatchute_standins.platform.faults import Faults
+from kumquatchute_standins.platform.faults import is_silent
 from kumquatchute_standins.platform.faults import set_fault
 from kumquatchute_standins.platform.faults import take_token
 from kumquatchute_standins.platform.messages import CloseWatch
@@ -131,9 +132,9 @@
             case WatchPosition(watch=watch_id):
                 return self._watch_position(watch_id)
             case FreezeWatches():
-                self._freeze_watches()
+                self._freeze_watches(SilenceWatches())
             case SilenceWatches():
-                self._freeze_watches()
+                self._freeze_watches(request)
                 self._faults = set_fault(self._faults, request, self._clock())
             case DropHistory():
                 self._table.drop_history()
@@ -194,9 +195,11 @@
             late_writes.after_s, self.mailbox.post, LateWrite(request)
         )
 
-    def _freeze_watches(self) -> None:
+    def _freeze_watches(self, silence: SilenceWatches) -> None:
         self._watches = {
-            watch_id: replace(watch, frozen=True)
+            watch_id: replace(
+                watch, frozen=watch.frozen or is_silent(silence, watch.kind)
+            )
             for watch_id, watch in self._watches.items()
         }
 
@@ -253,7 +256,7 @@
             request.kind,
             request.revision,
             request.post,
-            self._faults.watches_silent,
+            is_silent(self._faults.silent_watches, request.kind),
         )
         return WatchOpened(watch_id)
 
