Let the watch of each topic end after 2 s

Cause: the watches of searchers, evacuations and nodes lasted 15 s. That one of them was silent was inferred from the watch of the manifest, whose failure restarted the others once. The class of fault: one stream is taken as evidence that another one works.

Change: all watches end after 2 s and their failure concerns their own topic only.

--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -45,14 +45,11 @@
 }
 
 
-# Longest duration of a watch of the manifest. The store can stop delivering on
-# watches without closing them. This watch is short, so that the fault is
-# detected within the few seconds in which a change must apply after a
-# disturbance. Its failure restarts the other watches.
-SHORT_WATCH_S = 2.0
-# Longest duration of the other watches. They are longer, because each watch is
-# a call that is charged.
-LONG_WATCH_S = 15.0
+# Longest duration of a watch. A source can stop delivering on a watch without
+# closing it, and what another topic or an earlier watch received does not show
+# that it has. Each watch therefore ends soon enough for a change to apply within
+# the few seconds that the users allow after a disturbance.
+WATCH_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -193,28 +190,16 @@
     rng: random.Random,
     clock: Callable[[], float],
 ) -> dict[Topic, Follower]:
-    post, sources = membership.mailbox.post, membership.sources
-    other_followers = {
+    return {
         topic: Follower(
-            topic, client, decoder, sources, post, rng, clock, LONG_WATCH_S
+            topic,
+            client,
+            decoder,
+            membership.sources,
+            membership.mailbox.post,
+            rng,
+            clock,
+            WATCH_S,
         )
         for topic, decoder in TOPIC_DECODERS.items()
-        if topic is not Topic.MANIFEST
     }
-
-    def restart_other_followers() -> None:
-        for follower in other_followers.values():
-            follower.restart()
-
-    manifest_follower = Follower(
-        Topic.MANIFEST,
-        client,
-        TOPIC_DECODERS[Topic.MANIFEST],
-        sources,
-        post,
-        rng,
-        clock,
-        SHORT_WATCH_S,
-        restart_other_followers,
-    )
-    return {Topic.MANIFEST: manifest_follower, **other_followers}
--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -53,7 +53,6 @@
         rng: random.Random,
         clock: Callable[[], float],
         wait_s: float,
-        on_failure: Callable[[], None] = lambda: None,
         sleep: Callable = asyncio.sleep,
     ) -> None:
         """Create a follower.
@@ -66,7 +65,6 @@
             at once
         :param clock: monotonic time in seconds
         :param wait_s: longest duration of a watch, in seconds
-        :param on_failure: called when a watch fails
         """
         self._topic = topic
         self._client = client
@@ -76,7 +74,6 @@
         self._rng = rng
         self._clock = clock
         self._wait_s = wait_s
-        self._on_failure = on_failure
         self._sleep = sleep
         self._failure_count = 0
         self._has_state = False
@@ -88,8 +85,7 @@
     def restart(self) -> None:
         """End the current watch and begin another.
 
-        It is called when the watch may have stopped delivering or another
-        source has become the preferred one.
+        It is called when another source has become the preferred one.
         """
         self._restart_requested.set()
 
@@ -246,7 +242,6 @@
                     self.state_age_s(),
                     result.reason,
                 )
-                self._on_failure()
                 return
             revision = result.revision
             self._confirmed_at = self._clock()
