Let a relay answer only for the kinds that it reads from the store

Cause: a relay counted as current for all kinds of objects as soon as the store had responded for any of them. After an outage, a node had read the searchers from the store and the manifest from another relay, which its own relay does not record. Another node listed the old manifest from it and got no event, until the relay lost all contact 4 s later.

Ruled out: a manifest that was read and held back (no such line in the log), and old state in the store (other nodes read version 6).

Change: the time of the last response is kept for each kind.

--- a/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
@@ -12,8 +12,8 @@
 # Changes kept for each kind; a node that is further behind reads the whole
 # listing.
 MAX_CHANGES = 2_000
-# A relay responds only if the store has responded to it within this time. The
-# shortest watch of the store ends every 2 s.
+# A relay responds for a kind only if the store has responded to it for that
+# kind within this time. Each watch of the store ends every 2 s.
 FRESHNESS_S = 3.0
 MAX_WATCH_WAIT_S = 30.0
 # Query parameter that accepts a listing of any age.
@@ -33,9 +33,17 @@
 
 
 class _CachedKind:
-    """Objects of one kind and the changes since ``oldest_revision``."""
+    """Objects of one kind and the changes since ``oldest_revision``.
 
-    def __init__(self, items: dict[str, dict], revision: int) -> None:
+    ``confirmed_at`` is when the store last responded for this kind. Contact
+    for another kind does not count, because the call for this one may be
+    silent, or the node may read it from another relay.
+    """
+
+    def __init__(
+        self, items: dict[str, dict], revision: int, now: float
+    ) -> None:
+        self.confirmed_at = now
         self.items = items
         self.revision = revision
         self.oldest_revision = revision
@@ -74,21 +82,17 @@
         """
         self._clock = clock
         self._kinds: dict[str, _CachedKind] = {}
-        self._last_contact_at = float("-inf")
-
-    def record_contact(self) -> None:
-        """Record that the store has just responded."""
-        self._last_contact_at = self._clock()
 
     def record_listing(
         self, kind: str, items: dict[str, dict], revision: int
     ) -> None:
         """Replace the objects of a kind with a complete listing."""
-        self.record_contact()
+        now = self._clock()
         cached = self._kinds.get(kind)
         if cached is None or revision < cached.revision:
-            self._kinds[kind] = _CachedKind(items, revision)
+            self._kinds[kind] = _CachedKind(items, revision, now)
             return
+        cached.confirmed_at = now
         names = [
             name
             for name in {**cached.items, **items}
@@ -101,10 +105,10 @@
         self, kind: str, changes: dict[str, dict | None], revision: int
     ) -> None:
         """Apply changes of the store; None stands for a removed object."""
-        self.record_contact()
         cached = self._kinds.get(kind)
         if cached is None:
             return
+        cached.confirmed_at = self._clock()
         for name, item in changes.items():
             if item is None:
                 cached.items.pop(name, None)
@@ -158,9 +162,11 @@
                 continue
 
     def _get_fresh(self, kind: str) -> _CachedKind | None:
-        if self._clock() > self._last_contact_at + FRESHNESS_S:
+        cached = self._kinds.get(kind)
+        if cached is None:
             return None
-        return self._kinds.get(kind)
+        age_s = self._clock() - cached.confirmed_at
+        return cached if age_s <= FRESHNESS_S else None
 
 
 def _encode_events(
