--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -46,9 +46,9 @@
 
 
 # Longest duration of a watch. A source can stop delivering on a watch without
-# closing it, and what another topic or an earlier watch received does not show
-# that it has. Each watch therefore ends soon enough for a change to apply within
-# the few seconds that the users allow after a disturbance.
+# closing it, and what another watch receives does not show that it has. Each
+# watch therefore ends soon enough for a change to apply within the few seconds
+# that the users allow after a disturbance.
 WATCH_S = 2.0
 
 
