Reject the listing of a relay that is behind the applied state

A searcher that has left, or a data centre that was evacuated, would be used again.

Only manifests were protected, by their version.

Change: a follower knows the revision of the newest change that it has posted, and takes the next source if a relay's listing is older. The revisions of a listing that counts changes of other kinds do not matter, so that nodes do not fall back to the store without need.

--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -6,6 +6,7 @@
 
 from logbook import Logger
 
+from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchuted.mailbox import Post
 from kumquatchuted.membership.messages import StoreRecovered
@@ -37,6 +38,10 @@
 # After this time with another source, the preferred one is tried again.
 MAX_FALLBACK_S = 2.0
 
+OUTDATED = Failure(
+    ErrorKind.UNAVAILABLE, "its state is older than what was read before"
+)
+
 log = Logger("membership")
 
 
@@ -77,6 +82,8 @@
         self._sleep = sleep
         self._failure_count = 0
         self._has_state = False
+        # Revision of the newest change that was posted.
+        self._newest_revision = 0
         self._failed_at: dict[Source, float] = {}
         self._active_source: Source | None = None
         self._confirmed_at: float | None = None
@@ -120,6 +127,18 @@
                 self._failed_at[source] = self._clock()
                 failure = listing
                 continue
+            if self._is_outdated(source, listing):
+                self._failed_at[source] = self._clock()
+                failure = OUTDATED
+                log.info(
+                    "listing rejected topic={} address={} revision={}"
+                    " newest_revision={}",
+                    self._topic.value,
+                    source.address,
+                    listing.revision,
+                    self._newest_revision,
+                )
+                continue
             self._report_success(source)
             log.info(
                 "topic listed topic={} address={} revision={} age_s={:.2f}",
@@ -130,6 +149,7 @@
             )
             self._confirmed_at = self._clock()
             self._has_state = True
+            self._advance_to(listing.newest_revision)
             self._post(TopicListed(self._topic, listing.objects))
             await self._watch(source, listing.revision, source != sources[0])
             return None
@@ -137,6 +157,19 @@
             await self._list_stale(sources)
         return failure
 
+    def _is_outdated(self, source: Source, listing: Listing) -> bool:
+        """Return whether a relay has not read a change that was posted.
+
+        Its state would undo the change. The store's own listing is never
+        older than what it has sent before.
+        """
+        return not source.is_store and (
+            listing.revision < self._newest_revision
+        )
+
+    def _advance_to(self, revision: int) -> None:
+        self._newest_revision = max(self._newest_revision, revision)
+
     async def _list(self, source: Source) -> Listing | Failure:
         """List a topic; send further calls while no state is known.
 
@@ -245,6 +278,7 @@
                 return
             revision = result.revision
             self._confirmed_at = self._clock()
+            self._advance_to(result.newest_revision)
             if result.written or result.removed:
                 self._post(
                     TopicChanged(self._topic, result.written, result.removed)
--- a/packages/kumquatchuted/src/kumquatchuted/membership/object_reader.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/object_reader.py
@@ -27,10 +27,12 @@
     """All objects of a kind.
 
     :param revision: revision from which a watch continues
+    :param newest_revision: revision of the object that changed last
     """
 
     objects: tuple[DecodedObject, ...]
     revision: int
+    newest_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,11 +41,13 @@
 
     :param removed: names of the removed objects
     :param revision: revision from which the next watch continues
+    :param newest_revision: revision of the last of the changes
     """
 
     written: tuple[DecodedObject, ...]
     removed: tuple[str, ...]
     revision: int
+    newest_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
@@ -285,6 +285,42 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("relay_revision", "listed"),
+    [(8, [STORE, RELAY, STORE]), (9, [STORE, RELAY])],
+    ids=["older", "as-new"],
+)
+def test_listing_of_a_relay_is_not_read_if_older_than_the_state(
+    relay_revision: int, listed: list[Source]
+) -> None:
+    """Guards against a searcher that counts as ready again after it left.
+
+    In incident inc2 a node returned from the store to a relay that was behind,
+    and to older entries. A relay that has the newest change is read, though
+    the store has counted changes of other kinds since.
+    """
+
+    async def scenario() -> None:
+        change = Changes((), ("a",), 12, newest_revision=9)
+        store = ScriptedStore([Listing((), 5, newest_revision=5)], [change])
+        sources = [STORE]
+        posted, follower, task = await run_follower(store, sources=sources)
+        store.listings += [Listing((), relay_revision), Listing((), 12)]
+        sources[:] = [RELAY, STORE]
+        follower.restart()
+        for _ in range(50):
+            await asyncio.sleep(0)
+        task.cancel()
+        assert store.listed_sources == listed
+        assert [type(item) for item in posted] == [
+            TopicListed,
+            TopicChanged,
+            TopicListed,
+        ]
+
+    asyncio.run(scenario())
+
+
 def test_next_source_is_listed_when_the_first_one_fails() -> None:
     """Guards against a node without state because the store rejects it.
 
--- a/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
@@ -105,6 +105,7 @@
                 for name, content in contents.items()
             ),
             revision or 0,
+            max((item.revision for item in items.values()), default=0),
         )
 
     async def watch(
@@ -144,6 +145,7 @@
             ),
             tuple(name for name, content in latest.items() if content is None),
             batch.revision,
+            max((event.item.revision for event in batch.events), default=0),
         )
 
     async def _get(
