--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
@@ -25,6 +25,8 @@
     :param silent: requests run and get no response
     :param shed: requests are refused as not executed
     :param fail: requests run and get a response with status 500
+    :param limit_per_s: requests a second that its responses state as its
+        limit; None for no limit
     """
 
     delay_s: float = 0.0
@@ -33,6 +35,7 @@
     silent: bool = False
     shed: bool = False
     fail: bool = False
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +158,8 @@
             "X-Server-Stamp": build_stamp(self.service, request_id),
             "X-Server-Load": "1,0,2",
         }
+        if self.faults.limit_per_s is not None:
+            response_headers["Server-Limit"] = str(self.faults.limit_per_s)
         body = build_records(self.service, request_id)
         if self.faults.cut_answer:
             await _send_response(
--- /dev/null
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_limited_searcher.py
@@ -0,0 +1,72 @@
+"""Tests of real nodes and a searcher that states a limit in its responses."""
+
+import asyncio
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from kumquatchute_standins.platform.fleet.callers import send_at_rate
+from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
+from kumquatchute_standins.platform.fleet.site import FleetSite
+from kumquatchute_standins.platform.fleet.site import Shape
+from kumquatchute_standins.platform.fleet.tests.scenarios import query_sender
+from kumquatchute_standins.platform.fleet.tests.scenarios import run_on_site
+
+QUERIES_PER_S = 25.0
+# The users allow one and a half times the limit and 5 requests in 4 s, from
+# 4 s after the first response that stated it.
+WINDOW_S = 4.0
+ALLOWED_FACTOR = 1.5
+ALLOWED_SLACK = 5.0
+
+
+def peak_count(times: list[float]) -> int:
+    """Return the largest number of arrivals within ``WINDOW_S``."""
+    return max(
+        (
+            sum(start <= other < start + WINDOW_S for other in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
+@pytest.mark.parametrize("limit_per_s", [8.0, 0.5])
+def test_searcher_gets_no_more_than_the_limit_that_it_states(
+    tmp_path: Path, limit_per_s: float
+) -> None:
+    """Guards against a searcher in need that gets its full load.
+
+    Three nodes send to it, one of them from another data centre; the queries
+    are answered by the other searcher of its shard.
+    """
+    shape = Shape(nodes=("a", "a", "b"), shards=4)
+
+    async def scenario(
+        site: FleetSite, session: aiohttp.ClientSession
+    ) -> None:
+        limited = site.searchers_of("sh00")[0]
+        limited.faults = SearcherFaults(limit_per_s=limit_per_s)
+        stated_at = asyncio.get_running_loop().time()
+        answers = await asyncio.gather(
+            *(
+                send_at_rate(
+                    query_sender(site, session, node), QUERIES_PER_S, 10
+                )
+                for node in range(len(shape.nodes))
+            )
+        )
+        times = [
+            arrival.received_at
+            for arrival in site.arrivals_after(limited.name, stated_at + 0.5)
+        ]
+        allowed = ALLOWED_FACTOR * limit_per_s * WINDOW_S + ALLOWED_SLACK
+        assert 0 < peak_count(times) <= allowed
+        assert all(
+            answer.status == 200 and answer.coverage == 1.0
+            for of_node in answers
+            for answer in of_node
+        )
+
+    run_on_site(tmp_path, scenario, shape)
