Keep to the limit that a searcher states in its responses

Cause: nodes did not read Server-Limit. Load and latency did not show the need, because the searcher still answered everything in time.

Change: each node has a token bucket for a searcher that states a limit. Its rate and burst follow from the limit and the list of nodes, so that nodes need no messages: on average all nodes send what the limit states, in any 4 s at most 0.85 of what the users allow. Nodes of the searcher's data centre have four fifths. Nodes without a part send a probe now and then. Delegation of shards ignores this node's part. A response without the header ends the limit.

--- a/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
@@ -1,5 +1,7 @@
 """Encodes requests to searchers and decodes their responses."""
 
+import math
+
 from kumquatchuted.searchers.connection import RawResponse
 from kumquatchuted.searchers.load import LoadReport
 from kumquatchuted.searchers.messages import OutgoingRequest
@@ -9,6 +11,8 @@
 STAMP_HEADER = b"x-server-stamp"
 NOT_EXECUTED_HEADER = b"x-not-executed"
 LOAD_HEADER = b"x-server-load"
+# Requests per second that the searcher takes from all nodes together.
+LIMIT_HEADER = b"server-limit"
 MISDIRECTED_STATUS = 421
 # Headers that are not forwarded to callers: they belong to the connection to
 # the searcher, or concern only the nodes of this system.
@@ -18,6 +22,7 @@
         b"content-length",
         b"keep-alive",
         b"proxy-connection",
+        b"server-limit",
         b"te",
         b"trailer",
         b"transfer-encoding",
@@ -97,6 +102,22 @@
     return None
 
 
+def decode_limit(raw: RawResponse) -> float | None:
+    """Return how many requests a second the searcher takes from all nodes.
+
+    :returns: None if the header is missing or malformed
+    """
+    for name, value in raw.headers:
+        if name == LIMIT_HEADER:
+            try:
+                limit_per_s = float(value)
+            except ValueError:
+                return None
+            is_valid = math.isfinite(limit_per_s) and limit_per_s >= 0
+            return limit_per_s if is_valid else None
+    return None
+
+
 def decode_keep_alive_timeout(raw: RawResponse) -> float | None:
     """Return for how many seconds the searcher keeps an idle connection.
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
@@ -30,6 +30,7 @@
 from kumquatchuted.searchers.latency import LatencyEstimate
 from kumquatchuted.searchers.latency import record_latency
 from kumquatchuted.searchers import load as searcher_load
+from kumquatchuted.searchers.stated_limits import StatedLimits
 
 log = Logger("searchers")
 
@@ -69,6 +70,7 @@
         self._loads: dict[str, searcher_load.Load] = {}
         self._cold_until: dict[str, float] = {}
         self._recent_sends: dict[str, RecentSends] = {}
+        self._stated_limits = StatedLimits(cfg.node)
         self._unreachable_at: dict[str, float] = {}
         self._latencies: dict[str, LatencyEstimate] = {}
 
@@ -91,13 +93,16 @@
         service: str,
         excluded: Collection[str],
         now: float,
+        may_delegate: bool = False,
     ) -> RegisteredSearcher | None:
         """Return the searcher with the lowest expected cost, or None.
 
-        Cold searchers that have received this node's share of their rate are
-        left out.
+        Searchers that have received this node's share of a limit are left out:
+        of the rate of a cold searcher, or of the limit that a searcher states.
 
         :param excluded: names of searchers that must not be chosen
+        :param may_delegate: whether nodes of other data centres may send the
+            request, so that their shares of stated limits apply there
         :param now: monotonic time in seconds
         """
         usable = {
@@ -105,6 +110,10 @@
             for searcher in self._usable_by_service.get(service, ())
             if searcher.name not in excluded
             and self._is_within_cold_limit(searcher, now)
+            and (
+                self._stated_limits.may_send(searcher.name, now)
+                or (may_delegate and self._is_delegable(searcher))
+            )
         }
         chosen = choose_searcher(
             (self._candidate(searcher) for searcher in usable.values()),
@@ -164,6 +173,7 @@
         self._loads[name] = searcher_load.start_attempt(self._load(name), now)
         recent = self._recent_sends.get(name, NO_SENDS)
         self._recent_sends[name] = record_send(recent, now)
+        self._stated_limits.record_send(name, now)
 
     def on_attempt_succeeded(
         self, name: str, route: Route, started_at: float, now: float
@@ -268,6 +278,12 @@
                 self._load(name), report
             )
 
+    def on_limit_stated(
+        self, name: str, limit_per_s: float | None, now: float
+    ) -> None:
+        """Apply the limit that a response states; None if it states none."""
+        self._stated_limits.on_response(name, limit_per_s, now)
+
     def pending_count(self, name: str) -> int:
         """Return the number of pending attempts on a searcher."""
         return len(self._load(name).pending)
@@ -305,6 +321,11 @@
             for name, node in message.nodes.items()
             if name != self._cfg.node
         )
+        node_dcs = {
+            name: node.data_centre for name, node in message.nodes.items()
+        }
+        node_dcs[self._cfg.node] = self._cfg.data_centre
+        self._stated_limits.set_members(self._searchers, node_dcs, now)
         gone = set(former) - set(self._searchers)
         gone |= {
             name
@@ -338,6 +359,13 @@
             self._load(searcher.name),
         )
 
+    def _is_delegable(self, searcher: RegisteredSearcher) -> bool:
+        data_centre = searcher.data_centre
+        return (
+            data_centre != self._cfg.data_centre
+            and data_centre in self._dcs_with_other_nodes
+        )
+
     def _is_within_cold_limit(
         self, searcher: RegisteredSearcher, now: float
     ) -> bool:
@@ -366,6 +394,7 @@
     def _discard_state(self, name: str) -> None:
         log.info("searcher process gone searcher={}", name)
         self._loads.pop(name, None)
+        self._stated_limits.discard(name)
         if name not in self._searchers:
             # The recent sends to a restarted searcher are kept, because they
             # count towards the limit of the cold process.
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -170,7 +170,13 @@
         now = self._clock()
         attempts = message.attempts
         chosen = [
-            self._balancer.choose(attempt.route, attempt.service, (), now)
+            self._balancer.choose(
+                attempt.route,
+                attempt.service,
+                (),
+                now,
+                may_delegate=bool(message.top_k),
+            )
             for attempt in attempts
         ]
         usable = sum(searcher is not None for searcher in chosen)
@@ -288,6 +294,9 @@
         self._record_outcome(attempt, response, now)
         if response.wrong_process:
             connection.close()
+        else:
+            limit_per_s = codec.decode_limit(event.response)
+            self._balancer.on_limit_stated(attempt.searcher, limit_per_s, now)
         own_attempts = self._balancer.pending_count(attempt.searcher)
         report = codec.decode_load(event.response, now, own_attempts)
         self._balancer.on_load_reported(attempt.searcher, report)
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_balancer.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_balancer.py
@@ -14,8 +14,13 @@
 ROUTE = Route("r", "h", "/", True, 1.0, 0.1, 0, 2, OneService("s"))
 
 
-def balancer_of(searchers: int, nodes: int = 4) -> LoadBalancer:
-    """Return a balancer of warm searchers of service s."""
+def balancer_of(
+    searchers: int, nodes: int = 4, data_centre: str = "a"
+) -> LoadBalancer:
+    """Return a balancer of warm searchers of service s.
+
+    :param data_centre: of the searchers and nodes, except for this node
+    """
     balancer = LoadBalancer(EXAMPLE_SETTINGS, random.Random(1))
     members = {
         f"i-{number}": RegisteredSearcher(
@@ -23,7 +28,7 @@
             "s",
             "10.0.0.1",
             80 + number,
-            "a",
+            data_centre,
             SearcherState.READY,
             2,
             0.0,
@@ -31,7 +36,9 @@
         )
         for number in range(searchers)
     }
-    peers = {f"n{n}": Node(f"n{n}", "10.1.0.1:1", "a") for n in range(nodes)}
+    peers = {
+        f"n{n}": Node(f"n{n}", "10.1.0.1:1", data_centre) for n in range(nodes)
+    }
     balancer.set_members(MembersChanged(members, {}, frozenset(), peers), 0.0)
     return balancer
 
