Read the other objects of a listing that has one odd entry

Report of other operators: one odd entry of another writer among those of the searchers, and nodes stop following the list.

Cause: it can happen here. The document is decoded as a whole, and a value that cannot be represented (nested 100,000 deep, 1e999, 5,000 digits, a broken escape) makes the whole listing malformed, each time it is read. The node keeps its old state and never reads a change again. A port out of range or a wrong type already affects its own entry only.

Change: if a document cannot be decoded, it is split into the bytes of its elements, without recursion, and they are decoded one by one; what cannot be decoded reads as None.

--- a/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_wire.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_wire.py
@@ -51,6 +51,38 @@
     assert (batch.skipped, batch.revision) == (5, 9)
 
 
+ODD_VALUES = {
+    "deep array": "[" * 100_000 + "]" * 100_000,
+    "deep object": '{"a":' * 100_000 + "1" + "}" * 100_000,
+    "number": "1e999",
+    "digits": "9" * 5_000,
+    "escape": '"\\ud800"',
+    "encoding": '"\xff"',
+}
+
+
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES.keys())
+def test_odd_object_does_not_hide_the_others(value: str) -> None:
+    """Guards against one entry of another writer that stops all listings.
+
+    A node would read no change any more, of any object of the kind. The odd
+    object itself reads as one without content.
+    """
+    odd = '{"meta": {"name": "odd", "revision": 4}, "spec": {"seq": %s}}'
+    objects = f"{odd % value}, {msgspec.json.encode(VALID).decode()}"
+    body = f'{{"items": [{objects}], "hasMore": true, "asOf": 9}}'
+    page = decode_page(body.encode("latin-1"))
+    assert [item.name for item in page.items] == ["odd", "a"]
+    assert [item.spec for item in page.items] == [None, [1]]
+    assert (page.revision, page.has_more, page.skipped) == (9, True, 0)
+    event = '{"removed": false, "object": %s}' % odd % value
+    events = decode_events(
+        f'{{"events": [{event}], "asOf": 9}}'.encode("latin-1")
+    )
+    assert [item.item.name for item in events.events] == ["odd"]
+    assert events.events[0].item.spec is None
+
+
 def test_encoded_object_holds_spec_and_revision():
     """Guards against an update that is sent without its condition.
 
--- a/packages/kumquatchuted/src/kumquatchuted/platform/wire.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/wire.py
@@ -3,6 +3,9 @@
 An object is ``{meta: {name, revision}, spec}``; other fields are ignored. A
 page of a listing is ``{items: [objects], hasMore, asOf}``, the response to a
 watch is ``{events: [{object, removed}], asOf}``.
+
+Other systems write objects too. A value in one of them that cannot be decoded
+reads as None and does not affect the other objects.
 """
 
 from collections.abc import Mapping
@@ -11,6 +14,9 @@
 
 import msgspec
 
+from kumquatchuted.platform.json_spans import split_array
+from kumquatchuted.platform.json_spans import split_object
+
 DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
@@ -110,7 +116,7 @@
 
     :raises msgspec.DecodeError: the body is not a page of a listing
     """
-    page = msgspec.json.decode(body, type=_Page)
+    page = _decode_document(body, _Page, "items", 1)
     items = tuple(item for item in map(_decode_item, page.items) if item)
     skipped = len(page.items) - len(items)
     return Page(items, page.as_of, page.has_more, skipped)
@@ -123,7 +129,7 @@
 
     :raises msgspec.DecodeError: the body is not a response to a watch
     """
-    batch = msgspec.json.decode(body, type=_EventBatch)
+    batch = _decode_document(body, _EventBatch, "events", 2)
     events = []
     for event in batch.events:
         if not isinstance(event, dict):
@@ -135,6 +141,44 @@
     return EventBatch(tuple(events), batch.as_of, skipped)
 
 
+def _decode_document(
+    body: bytes, document_type: type, list_key: str, levels: int
+) -> Any:
+    """Decode a document, with None for values that cannot be decoded.
+
+    :param list_key: key of the list in the document
+    :param levels: levels of objects in each element of the list whose members
+        are decoded one by one if the element cannot be decoded
+    """
+    try:
+        return msgspec.json.decode(body, type=document_type)
+    except DECODE_ERRORS:
+        members = split_object(body)
+    if list_key not in members:
+        raise msgspec.ValidationError(f"document without {list_key}")
+    elements = split_array(members.pop(list_key))
+    document: dict[str, Any] = {
+        key: msgspec.json.decode(value) for key, value in members.items()
+    }
+    document[list_key] = [_decode_value(raw, levels) for raw in elements]
+    return msgspec.convert(document, document_type)
+
+
+def _decode_value(raw: bytes, levels: int) -> Any:
+    try:
+        return msgspec.json.decode(raw)
+    except DECODE_ERRORS:
+        if levels == 0:
+            return None
+    try:
+        members = split_object(raw)
+    except DECODE_ERRORS:
+        return None
+    return {
+        key: _decode_value(value, levels - 1) for key, value in members.items()
+    }
+
+
 def _decode_item(content: object) -> Item | None:
     meta = content.get("meta") if isinstance(content, dict) else None
     if not isinstance(meta, dict):
