Encode objects for the relay when they are read

Cause: an entry nested 800 deep can be decoded, but encoding it again failed with a RecursionError in the request of another node, deeper in the call stack. All listings and watches of that kind then failed at the relay, and the nodes that read from it changed to the store.

Change: the relay holds encoded objects; one that cannot be encoded is relayed without its content, and so names no searcher.

Result: the new test fails before with a RecursionError and passes now.

--- a/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
@@ -98,7 +98,8 @@
             query = query | {"after": page.items[-1].name}
         contents = {name: item.content for name, item in items.items()}
         if source.is_store:
-            self._relay.record_listing(decoder.kind, contents, revision or 0)
+            encoded = {name: _encode(item) for name, item in items.items()}
+            self._relay.record_listing(decoder.kind, encoded, revision or 0)
         return Listing(
             tuple(
                 DecodedObject(name, decoder.decode(name, content))
@@ -136,7 +137,11 @@
             for event in batch.events
         }
         if source.is_store:
-            self._relay.record_changes(decoder.kind, latest, batch.revision)
+            encoded = {
+                event.item.name: None if event.removed else _encode(event.item)
+                for event in batch.events
+            }
+            self._relay.record_changes(decoder.kind, encoded, batch.revision)
         return Changes(
             tuple(
                 DecodedObject(name, decoder.decode(name, content))
@@ -170,6 +175,20 @@
                 return interpret_failed_read(failed_call)
 
 
+def _encode(item: Item) -> msgspec.Raw:
+    """Return the object as the relay serves it.
+
+    Objects are encoded when they are read: a deeply nested one fails then, and
+    only for itself, and not in each response of the relay. It is relayed
+    without its content.
+    """
+    try:
+        return msgspec.Raw(msgspec.json.encode(item.content))
+    except RecursionError:
+        meta = {"name": item.name, "revision": item.revision}
+        return msgspec.Raw(msgspec.json.encode({"meta": meta, "spec": None}))
+
+
 async def register_node(store: Store, node: Node, rng: random.Random) -> None:
     """Write the entry of this node; retry until the store accepts it."""
     backoff_s = MIN_REGISTER_BACKOFF_S
--- a/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
@@ -9,6 +9,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+import msgspec
+
 # Changes kept for each kind; a node that is further behind reads the whole
 # listing.
 MAX_CHANGES = 2_000
@@ -41,7 +43,7 @@
     """
 
     def __init__(
-        self, items: dict[str, dict], revision: int, now: float
+        self, items: dict[str, msgspec.Raw], revision: int, now: float
     ) -> None:
         self.confirmed_at = now
         self.items = items
@@ -84,7 +86,7 @@
         self._kinds: dict[str, _CachedKind] = {}
 
     def record_listing(
-        self, kind: str, items: dict[str, dict], revision: int
+        self, kind: str, items: dict[str, msgspec.Raw], revision: int
     ) -> None:
         """Replace the objects of a kind with a complete listing."""
         now = self._clock()
@@ -102,7 +104,10 @@
         cached.add_changes(names, revision)
 
     def record_changes(
-        self, kind: str, changes: dict[str, dict | None], revision: int
+        self,
+        kind: str,
+        changes: dict[str, msgspec.Raw | None],
+        revision: int,
     ) -> None:
         """Apply changes of the store; None stands for a removed object."""
         cached = self._kinds.get(kind)
