Reject searchers whose names do not fit a header

Found while looking for odd entries of other writers: the name of an entry is sent as the value of a header on each new connection.

Cause: the name was not checked. One with a line break adds a header, or a request, to what a searcher receives.

Change: a name that has other than visible ASCII characters makes the entry malformed. A port out of range was rejected before; the test has it now.

Result: the three names of the new test were accepted before and are rejected now.

--- a/packages/kumquatchuted/src/kumquatchuted/platform/decoding.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/decoding.py
@@ -4,6 +4,8 @@
 field of another type or an unknown state decodes to None.
 """
 
+import re
+
 import msgspec
 
 from kumquatchute_model.address import parse_address
@@ -26,6 +28,8 @@
 DEFAULT_MAX_ATTEMPTS = 1
 DEFAULT_MAX_CONNECTIONS = 1_000_000
 MS_PER_S = 1000
+# The name of a searcher is sent in a header.
+SEARCHER_NAME = re.compile(r"[!-~]+")
 
 
 class _SplitService(msgspec.Struct):
@@ -124,6 +128,8 @@
 
 def decode_searcher(name: str, item: object) -> RegisteredSearcher | None:
     """Decode the entry that a searcher wrote about itself."""
+    if not SEARCHER_NAME.fullmatch(name):
+        return None
     spec = _convert_spec(item, SearcherSpec)
     if spec is None:
         return None
--- a/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_decoding.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_decoding.py
@@ -103,6 +103,7 @@
         ("capacity", True),
         ("address", "nowhere"),
         ("address", "10.0.0.1:0"),
+        ("address", "10.0.0.1:65536"),
         ("warmupLeftMs", None),
         ("warmupLeftMs", -1),
         ("born", 1.5),
@@ -119,6 +120,17 @@
     assert decode_searcher("i-1", {"spec": {**ENTRY, field: value}}) is None
 
 
+@pytest.mark.parametrize("name", ["i-1\r\nX-A: 1", "i 1", "i-\x00"])
+def test_searcher_whose_name_does_not_fit_a_header_is_rejected(
+    name: str,
+) -> None:
+    """Guards against a header or a request that an entry's name adds.
+
+    Requests on a new connection state the name of the expected searcher.
+    """
+    assert decode_searcher(name, {"spec": ENTRY}) is None
+
+
 def test_manifest_is_decoded_into_routes_and_limits() -> None:
     """Guards against route types or destinations that are mixed up.
 
