Do not answer with an interim response at the end of a connection

Report of other operators: a searcher stopped in the middle of its head and closed, and callers got a success with an empty body.

Cause: a head that is cut off was never used here, as a test with a cut at each byte shows. But after an interim response (status 100) the end of the connection completed it as the final one, because it states no length.

Change: a status below 200 never ends with its connection.

Result: the test of the interim response fails before and passes now.

--- a/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
@@ -252,7 +252,9 @@
         self._transport.abort()
 
     def _ends_at_eof(self) -> bool:
-        if not self._is_header_complete or self._status in BODILESS_STATUSES:
+        if not self._is_header_complete or self._status < 200:
+            return False
+        if self._status in BODILESS_STATUSES:
             return False
         names = {name for name, _ in self._headers}
         return not names & {b"content-length", b"transfer-encoding"}
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
@@ -199,3 +199,30 @@
         b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc"
     )
     assert not posted[0].is_reusable
+
+
+@pytest.mark.parametrize(
+    "length", range(len(PARTIAL_RESPONSE)), ids=lambda length: f"{length}"
+)
+def test_response_whose_head_is_cut_off_is_not_used(length: int) -> None:
+    """Guards against a success without a body that was never sent.
+
+    The searcher closes the connection in the middle of the head.
+    """
+    connection, posted, _ = awaiting_response()
+    connection.data_received(PARTIAL_RESPONSE[:length])
+    connection.eof_received()
+    connection.connection_lost(None)
+    assert posted == [ConnectionClosed(connection, "k", "closed")]
+
+
+def test_interim_response_is_no_answer_when_the_connection_ends() -> None:
+    """Guards against a status 100 that is relayed to a caller.
+
+    The searcher closes the connection before the final response.
+    """
+    connection, posted, _ = awaiting_response()
+    connection.data_received(b"HTTP/1.1 100 Continue\r\n\r\n")
+    connection.eof_received()
+    connection.connection_lost(None)
+    assert posted == [ConnectionClosed(connection, "k", "closed")]
