Close a connection on which a response has no end

Cause: only bodies had a limit, of 64 MiB for each connection. A header line, a head, trailers, extensions of chunks, interim responses and responses to other requests were read until the deadline of the request, and kept in memory.

Change: what arrives for a request is limited to 16 MiB, and what is not body to 64 KiB and 8 bytes for each byte of a body, so that small chunks are still read. The limit of the whole is lower than before, because a node has 420 to 820 MB and dozens of connections.

--- a/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
@@ -15,7 +15,14 @@
 
 # Responses with these statuses have no body, whatever their headers state.
 BODILESS_STATUSES = (204, 304)
-MAX_BODY_BYTES = 64 * 1024 * 1024
+# A faulty searcher may send bytes without end. The limit on all that arrives
+# for a request lets dozens of them arrive at once in the few hundred megabytes
+# of a node.
+MAX_RECEIVED_BYTES = 16 * 1024 * 1024
+# Bytes of heads, trailers and framing: a fixed part, and for each byte of a
+# body more than the six of a chunk that holds a single byte.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_PER_BODY_BYTE = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +112,8 @@
         self._exchange: Exchange | None = None
         self._must_close = False
         self._complete_response: RawResponse | None = None
+        self._received_bytes = 0
+        self._received_body_bytes = 0
         self._reset_response()
         self._parser = HttpResponseParser(self)
 
@@ -116,6 +125,7 @@
     def send(self, exchange: Exchange, data: bytes) -> None:
         """Send a request; its response is posted as ``ResponseReceived``."""
         self._exchange = exchange
+        self._received_bytes = self._received_body_bytes = 0
         self.is_unused = False
         self._transport.write(data)
 
@@ -152,6 +162,11 @@
             if self._complete_response is None:
                 self._fail(f"invalid HTTP response: {exc}")
                 return
+        self._received_bytes += len(data)
+        if self._complete_response is None and self._is_too_long():
+            self._must_close = True
+            self._fail("response too long")
+            return
         self._post_response()
 
     def eof_received(self) -> bool:
@@ -193,14 +208,9 @@
             self._store_response()
 
     def on_body(self, body: bytes) -> None:
-        """Keep a part of the body, up to the limit (callback of the parser).
-
-        A longer body fails the request.
-        """
+        """Keep a part of the body (callback of the parser)."""
         self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_BODY_BYTES:
-            self._fail("response body too large")
+        self._received_body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Finish a response (callback of the parser).
@@ -251,6 +261,16 @@
             self._post(ConnectionClosed(self, exchange.key, reason))
         self._transport.abort()
 
+    def _is_too_long(self) -> bool:
+        """Return whether more has arrived for the request than is allowed."""
+        body_bytes = self._received_body_bytes
+        overhead_bytes = self._received_bytes - body_bytes
+        return (
+            self._received_bytes > MAX_RECEIVED_BYTES
+            or overhead_bytes
+            > MAX_OVERHEAD_BYTES + body_bytes * MAX_OVERHEAD_PER_BODY_BYTE
+        )
+
     def _ends_at_eof(self) -> bool:
         if not self._is_header_complete or self._status < 200:
             return False
@@ -262,6 +282,5 @@
     def _reset_response(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._body_bytes = 0
         self._status = 0
         self._is_header_complete = False
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
@@ -226,3 +226,56 @@
     connection.eof_received()
     connection.connection_lost(None)
     assert posted == [ConnectionClosed(connection, "k", "closed")]
+
+
+ENDLESS = {
+    "line": (b"HTTP/1.1 200 OK\r\nX-A: ", b"a" * 1000),
+    "head": (b"HTTP/1.1 200 OK\r\n", b"X-A: a\r\n" * 100),
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+    "extension": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        b"a" * 1000,
+    ),
+    "trailer": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-A: a\r\n" * 100,
+    ),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 200_000),
+    "other responses": (b"", STALE_RESPONSE * 3000),
+}
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"), ENDLESS.values(), ids=ENDLESS.keys()
+)
+def test_response_without_end_closes_the_connection(
+    start: bytes, repeated: bytes
+) -> None:
+    """Guards against a node that runs out of memory.
+
+    A faulty searcher sends bytes until the connection is closed.
+    """
+    connection, posted, transport = awaiting_response()
+    connection.data_received(start)
+    for _ in range(200):
+        if transport.closing:
+            break
+        connection.data_received(repeated)
+    assert transport.closing
+    assert [type(event) for event in posted] == [ConnectionClosed]
+
+
+def test_long_response_in_small_chunks_is_read() -> None:
+    """Guards against a limit that a complete response exceeds.
+
+    Each byte of the body is a chunk of its own, so that the framing is longer
+    than the body.
+    """
+    connection, posted, _ = awaiting_response()
+    connection.data_received(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    for _ in range(100):
+        connection.data_received(b"1\r\na\r\n" * 1000)
+    connection.data_received(b"0\r\n\r\n")
+    assert posted[0].response.body == b"a" * 100_000
