Move attempts and derived members out of two large modules

Change: the data classes of attempts, and what is derived from the known searchers and nodes, have modules of their own. No behaviour changes.

--- a/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
@@ -18,7 +18,6 @@
 from kumquatchuted.limits.shares import connection_share
 from kumquatchuted.membership.messages import MembersChanged
 from kumquatchuted.membership.messages import RegisteredSearcher
-from kumquatchuted.membership.messages import SearcherState
 from kumquatchuted.partials.grouping import group_remote_shards
 from kumquatchuted.partials.grouping import ShardGroup
 from kumquatchuted.routing.messages import Manifest
@@ -30,6 +29,9 @@
 from kumquatchuted.searchers.latency import LatencyEstimate
 from kumquatchuted.searchers.latency import record_latency
 from kumquatchuted.searchers import load as searcher_load
+from kumquatchuted.searchers.members import find_ended
+from kumquatchuted.searchers.members import group_usable
+from kumquatchuted.searchers.members import locate_nodes
 from kumquatchuted.searchers.stated_limits import StatedLimits
 
 log = Logger("searchers")
@@ -321,17 +323,12 @@
             for name, node in message.nodes.items()
             if name != self._cfg.node
         )
-        node_dcs = {
-            name: node.data_centre for name, node in message.nodes.items()
-        }
-        node_dcs[self._cfg.node] = self._cfg.data_centre
-        self._stated_limits.set_members(self._searchers, node_dcs, now)
-        gone = set(former) - set(self._searchers)
-        gone |= {
-            name
-            for name, searcher in self._searchers.items()
-            if name in former and _is_restarted(former[name], searcher)
-        }
+        self._stated_limits.set_members(
+            self._searchers,
+            locate_nodes(message.nodes, self._cfg.node, self._cfg.data_centre),
+            now,
+        )
+        gone = find_ended(former, self._searchers)
         for name in gone:
             self._discard_state(name)
         for name, searcher in self._searchers.items():
@@ -342,13 +339,9 @@
         self._searcher_counts = Counter(
             searcher.service for searcher in self._searchers.values()
         )
-        self._usable_by_service = {}
-        for searcher in self._searchers.values():
-            is_ready = searcher.state is SearcherState.READY
-            if is_ready and searcher.data_centre not in message.evacuated:
-                self._usable_by_service.setdefault(
-                    searcher.service, []
-                ).append(searcher)
+        self._usable_by_service = group_usable(
+            self._searchers.values(), message.evacuated
+        )
         return gone
 
     def _candidate(self, searcher: RegisteredSearcher) -> Candidate:
@@ -401,11 +394,3 @@
             self._recent_sends.pop(name, None)
         self._unreachable_at.pop(name, None)
         self._cold_until.pop(name, None)
-
-
-def _is_restarted(
-    former: RegisteredSearcher, searcher: RegisteredSearcher
-) -> bool:
-    return former.started_ms != searcher.started_ms or (
-        (former.host, former.port) != (searcher.host, searcher.port)
-    )
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 import random
 
 from logbook import Logger
@@ -23,6 +22,8 @@
 from kumquatchuted.retries.budget import BudgetLimits
 from kumquatchuted.retries.service_budgets import ServiceBudgets
 from kumquatchuted.routing.messages import ManifestChanged
+from kumquatchuted.searchers.attempts import LingerExpired
+from kumquatchuted.searchers.attempts import PendingAttempt
 from kumquatchuted.searchers.balancer import LoadBalancer
 from kumquatchuted.searchers.connection import Connection
 from kumquatchuted.searchers.connection import ConnectionClosed
@@ -46,31 +47,6 @@
 CONNECTION_REFUSED = ConnectionRefusedError.__name__
 
 
-@dataclass(frozen=True, slots=True)
-class PendingAttempt:
-    """An attempt without a result.
-
-    :param message: the message that requested it
-    :param searcher: name of the chosen searcher
-    :param started_at: monotonic time in seconds
-    :param connection: carries the request, or will once it is open
-    :param is_sent: whether the request was written to the connection
-    """
-
-    message: SendAttempt
-    searcher: str
-    started_at: float
-    connection: Connection
-    is_sent: bool
-
-
-@dataclass(frozen=True, slots=True)
-class LingerExpired:
-    """The linger time of an abandoned attempt is over."""
-
-    key: object
-
-
 class SearchersTask:
     """Owns connections, loads, retry budgets and attempts."""
 
