Play stated limits and silent watches of single kinds in the soak

Change: seeds from 1,000,000 on have both; plans of smaller seeds stay as they are. A check counts the arrivals at a searcher that states a limit.

--- a/packages/kumquatchute-bench/src/kumquatchute_bench/fleet_runs/files.py
+++ b/packages/kumquatchute-bench/src/kumquatchute_bench/fleet_runs/files.py
@@ -134,6 +134,7 @@
                 ds.SetSearcherFaults(searcher=index)
                 | ds.CrashSearcher(searcher=index)
                 | ds.DrainSearcher(searcher=index)
+                | ds.LimitSearcher(searcher=index)
             ):
                 count = searchers
             case (
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/disturbances.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/disturbances.py
@@ -65,6 +65,14 @@
     searcher: int
 
 
+@dataclass(frozen=True, slots=True)
+class LimitSearcher:
+    """Let a searcher state a limit, for the rest of the run."""
+
+    searcher: int
+    limit_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class PauseNode:
     """Pause the process of a node, then resume it."""
@@ -113,6 +121,7 @@
     | SetSearcherFaults
     | CrashSearcher
     | DrainSearcher
+    | LimitSearcher
     | PauseNode
     | KillNode
     | StopNode
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/run.py
@@ -60,6 +60,15 @@
     peak_per_s: int
 
 
+@dataclass(frozen=True, slots=True)
+class StatedLimit:
+    """Limit that a searcher states from a time on, in seconds."""
+
+    searcher: str
+    since: float
+    limit_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class QueryResult:
     """Result of a query over all shards, and when it was sent in seconds."""
@@ -89,6 +98,7 @@
     cold_peaks: tuple[ColdPeak, ...]
     last_disturbed_at: float
     shutdown_failures: tuple[str, ...]
+    limits: tuple[StatedLimit, ...] = ()
 
 
 class SiteRun:
@@ -112,6 +122,7 @@
         self._submissions: list[CallResult] = []
         self._absences: list[Absence] = []
         self._cold_peaks: list[ColdPeak] = []
+        self._limits: list[StatedLimit] = []
         self._shutdown_failures: list[str] = []
         self._last_disturbed_at = 0.0
         self._tasks: set[asyncio.Task] = set()
@@ -147,6 +158,7 @@
             tuple(self._cold_peaks),
             self._last_disturbed_at,
             tuple(self._shutdown_failures),
+            tuple(self._limits),
         )
 
     async def _send_requests(self, session: aiohttp.ClientSession) -> None:
@@ -212,6 +224,13 @@
                 await self._crash_searcher(number, step.for_s)
             case ds.DrainSearcher(searcher=number):
                 await self._drain_searcher(number)
+            case ds.LimitSearcher(searcher=number, limit_per_s=limit_per_s):
+                searcher = site.searchers[number]
+                searcher.limit_per_s = limit_per_s
+                since = asyncio.get_running_loop().time()
+                self._limits.append(
+                    StatedLimit(searcher.name, since, limit_per_s)
+                )
             case ds.Evacuate(data_centre=data_centre):
                 await self._evacuate(data_centre, step.for_s)
             case ds.ChangeManifest():
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
@@ -25,8 +25,6 @@
     :param silent: requests run and get no response
     :param shed: requests are refused as not executed
     :param fail: requests run and get a response with status 500
-    :param limit_per_s: requests a second that its responses state as its
-        limit; None for no limit
     """
 
     delay_s: float = 0.0
@@ -35,7 +33,6 @@
     silent: bool = False
     shed: bool = False
     fail: bool = False
-    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +71,8 @@
         self.port = port
         self.faults = SearcherFaults()
         self.service_time_s = 0.003
+        # Requests a second that the responses state as the limit, if any.
+        self.limit_per_s: float | None = None
         self.started_ms = 1_700_000_000_000
         self._on_arrival = on_arrival
         self._server: asyncio.Server | None = None
@@ -158,8 +157,8 @@
             "X-Server-Stamp": build_stamp(self.service, request_id),
             "X-Server-Load": "1,0,2",
         }
-        if self.faults.limit_per_s is not None:
-            response_headers["Server-Limit"] = str(self.faults.limit_per_s)
+        if self.limit_per_s is not None:
+            response_headers["Server-Limit"] = str(self.limit_per_s)
         body = build_records(self.service, request_id)
         if self.faults.cut_answer:
             await _send_response(
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_limited_searcher.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_limited_searcher.py
@@ -7,29 +7,15 @@
 import pytest
 
 from kumquatchute_standins.platform.fleet.callers import send_at_rate
-from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
+from kumquatchute_standins.platform.fleet.limits import allowed_count
+from kumquatchute_standins.platform.fleet.limits import peak_count
+from kumquatchute_standins.platform.fleet.limits import REACTION_S
 from kumquatchute_standins.platform.fleet.site import FleetSite
 from kumquatchute_standins.platform.fleet.site import Shape
 from kumquatchute_standins.platform.fleet.tests.scenarios import query_sender
 from kumquatchute_standins.platform.fleet.tests.scenarios import run_on_site
 
 QUERIES_PER_S = 25.0
-# The users allow one and a half times the limit and 5 requests in 4 s, from
-# 4 s after the first response that stated it.
-WINDOW_S = 4.0
-ALLOWED_FACTOR = 1.5
-ALLOWED_SLACK = 5.0
-
-
-def peak_count(times: list[float]) -> int:
-    """Return the largest number of arrivals within ``WINDOW_S``."""
-    return max(
-        (
-            sum(start <= other < start + WINDOW_S for other in times)
-            for start in times
-        ),
-        default=0,
-    )
 
 
 @pytest.mark.parametrize("limit_per_s", [8.0, 0.5])
@@ -47,7 +33,7 @@
         site: FleetSite, session: aiohttp.ClientSession
     ) -> None:
         limited = site.searchers_of("sh00")[0]
-        limited.faults = SearcherFaults(limit_per_s=limit_per_s)
+        limited.limit_per_s = limit_per_s
         stated_at = asyncio.get_running_loop().time()
         answers = await asyncio.gather(
             *(
@@ -59,10 +45,11 @@
         )
         times = [
             arrival.received_at
-            for arrival in site.arrivals_after(limited.name, stated_at + 0.5)
+            for arrival in site.arrivals_after(
+                limited.name, stated_at + REACTION_S
+            )
         ]
-        allowed = ALLOWED_FACTOR * limit_per_s * WINDOW_S + ALLOWED_SLACK
-        assert 0 < peak_count(times) <= allowed
+        assert 0 < peak_count(times) <= allowed_count(limit_per_s)
         assert all(
             answer.status == 200 and answer.coverage == 1.0
             for of_node in answers
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/__main__.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/__main__.py
@@ -10,7 +10,7 @@
 
 import typer
 
-from kumquatchute_standins.soak.run import FIRST_SEED_WITH_PEER_LINKS
+from kumquatchute_standins.soak.plan import FIRST_SEED_WITH_LIMITS
 from kumquatchute_standins.soak.run import Outcome
 from kumquatchute_standins.soak.run import run_seed
 
@@ -56,7 +56,7 @@
     """Run real nodes under random faults and check their guarantees."""
     first_seed = first
     if first_seed is None:
-        first_seed = random.randrange(FIRST_SEED_WITH_PEER_LINKS, 1_000_000)
+        first_seed = random.randrange(FIRST_SEED_WITH_LIMITS, 1_000_000_000)
     deadline = time.monotonic() + minutes * 60
     failed = finished = 0
     with ProcessPoolExecutor(1 if large else MAX_PARALLEL_RUNS) as pool:
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/checks.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/checks.py
@@ -7,8 +7,13 @@
 from collections import Counter
 
 from kumquatchute_standins.platform.fleet.callers import CallResult
+from kumquatchute_standins.platform.fleet.limits import allowed_count
+from kumquatchute_standins.platform.fleet.limits import peak_count
+from kumquatchute_standins.platform.fleet.limits import REACTION_S
+from kumquatchute_standins.platform.fleet.limits import WINDOW_S
 from kumquatchute_standins.platform.fleet.run import Absence
 from kumquatchute_standins.platform.fleet.run import ColdPeak
+from kumquatchute_standins.platform.fleet.run import StatedLimit
 from kumquatchute_standins.platform.fleet.searcher import Arrival
 
 # Statuses which guarantee that the request has not run and never will.
@@ -114,6 +119,37 @@
     return violations
 
 
+def check_stated_limits(
+    limits: Iterable[StatedLimit],
+    arrivals: list[Arrival],
+    last_disturbed_at: float,
+) -> list[str]:
+    """Report each searcher that received more than its limit allows.
+
+    Arrivals during disturbances do not count: nodes that were restarted,
+    paused or cut off are excused.
+
+    :param last_disturbed_at: when the last disturbance ended, in seconds
+    """
+    violations = []
+    for limit in limits:
+        counted_from = max(limit.since + REACTION_S, last_disturbed_at)
+        peak = peak_count(
+            [
+                arrival.received_at
+                for arrival in arrivals
+                if arrival.searcher == limit.searcher
+                and arrival.received_at > counted_from
+            ]
+        )
+        if peak > allowed_count(limit.limit_per_s):
+            violations.append(
+                f"{limit.searcher} got {peak} requests in {WINDOW_S} s"
+                f" with a limit of {limit.limit_per_s}"
+            )
+    return violations
+
+
 def check_recovery(results: list[CallResult]) -> list[str]:
     """Report if too few of the last requests were served.
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
@@ -14,6 +14,7 @@
 from kumquatchute_standins.platform.fleet.disturbances import DropHistory
 from kumquatchute_standins.platform.fleet.disturbances import Evacuate
 from kumquatchute_standins.platform.fleet.disturbances import KillNode
+from kumquatchute_standins.platform.fleet.disturbances import LimitSearcher
 from kumquatchute_standins.platform.fleet.disturbances import PauseNode
 from kumquatchute_standins.platform.fleet.disturbances import ReloadNode
 from kumquatchute_standins.platform.fleet.disturbances import ResetLink
@@ -29,6 +30,15 @@
 # Time at the end without disturbances, in which the service must recover.
 RECOVERY_S = 6.0
 MAX_DISTURBANCE_S = 3.0
+# Plans from this seed on also have silent watches of single kinds and a
+# searcher that states a limit. Those of smaller seeds stay as they are, so
+# that they still reproduce what was found with them.
+FIRST_SEED_WITH_LIMITS = 1_000_000
+# Time until which the searcher begins to state its limit.
+LIMIT_STARTS_BEFORE_S = 2.0
+MAX_LIMIT_PER_S = 6.0
+# Share of silent watches of a single kind among the disturbances.
+KIND_SILENCE_SHARE = 0.15
 # More writes than a node sends while a disturbance lasts.
 ALL_WRITES = 1_000
 
@@ -45,14 +55,24 @@
     """
     rng = Random(seed)
     steps = []
+    has_limits = seed >= FIRST_SEED_WITH_LIMITS
+    if has_limits:
+        limit = LimitSearcher(
+            rng.randrange(searchers), rng.uniform(0.0, MAX_LIMIT_PER_S)
+        )
+        steps.append(Step(rng.uniform(0.5, LIMIT_STARTS_BEFORE_S), 0.0, limit))
     for _ in range(rng.randint(3, 8)):
         start_s = rng.uniform(
             0.5, RUN_LENGTH_S - RECOVERY_S - MAX_DISTURBANCE_S
         )
         duration_s = rng.uniform(0.3, MAX_DISTURBANCE_S)
-        disturbance = _draw_disturbance(
-            rng, nodes, searchers, links, data_centres
-        )
+        if has_limits and rng.random() < KIND_SILENCE_SHARE:
+            kind = rng.choice(("servers", "evacuations"))
+            disturbance = SetStoreFault(SilenceWatches(kind))
+        else:
+            disturbance = _draw_disturbance(
+                rng, nodes, searchers, links, data_centres
+            )
         steps.append(Step(start_s, duration_s, disturbance))
         if rng.random() < 0.25:
             # The same disturbance occurs again shortly after.
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
@@ -86,6 +86,9 @@
         *checks.check_absences(
             record.absences, arrivals, record.last_disturbed_at
         ),
+        *checks.check_stated_limits(
+            record.limits, arrivals, record.last_disturbed_at
+        ),
         *checks.check_recovery(last_results),
     )
     served = sum(result.status == 200 for result in results)
