--- a/packages/kumquatchuted/src/kumquatchuted/limits/stated.py
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/stated.py
@@ -24,8 +24,8 @@
 # most of its requests; the other nodes have the rest.
 LOCAL_SHARE = 0.8
 # Nodes without a part of the limit send a request now and then, because only
-# responses show that a limit has ended. This is their rate in total, and the
-# highest rate of one of them.
+# responses show that a limit has ended. This is the rate of those of a group
+# in total, and the highest rate of one of them.
 PROBES_PER_S = 0.2
 MAX_PROBE_RATE_PER_S = 0.1
 
