Name the kinds of silent watches by their decoders in the soak

Cause: the plan named two kinds of objects of the platform outside the folder that translates them.

Change: it takes their names from the decoders; plans do not change.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
@@ -25,6 +25,8 @@
 from kumquatchute_standins.platform.fleet.disturbances import StopNode
 from kumquatchute_standins.platform.fleet.proxy import LinkFaults
 from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
+from kumquatchuted.platform.decoding import EVACUATION_DECODER
+from kumquatchuted.platform.decoding import SEARCHER_DECODER
 
 RUN_LENGTH_S = 12.0
 # Time at the end without disturbances, in which the service must recover.
@@ -67,8 +69,8 @@
         )
         duration_s = rng.uniform(0.3, MAX_DISTURBANCE_S)
         if has_limits and rng.random() < KIND_SILENCE_SHARE:
-            kind = rng.choice(("servers", "evacuations"))
-            disturbance = SetStoreFault(SilenceWatches(kind))
+            decoder = rng.choice((SEARCHER_DECODER, EVACUATION_DECODER))
+            disturbance = SetStoreFault(SilenceWatches(decoder.kind))
         else:
             disturbance = _draw_disturbance(
                 rng, nodes, searchers, links, data_centres
