--- a/packages/kumquatchuted/src/kumquatchuted/membership/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/messages.py
@@ -106,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MembersChanged:
-    """Searchers, nodes and evacuations after a change of any of them.
+    """Searchers, nodes and data centres taken out, after any change of them.
 
     :param searchers: ready and draining searchers by name; those whose entries
         are missing because of an outage of the store are included
--- a/packages/kumquatchuted/src/kumquatchuted/membership/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/task.py
@@ -35,7 +35,7 @@
 
 
 class MembershipTask:
-    """Owns the registry of searchers, the nodes, evacuations and manifest."""
+    """Owns known searchers and nodes, data centres taken out and manifest."""
 
     def __init__(
         self,
