--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
@@ -24,7 +24,9 @@
     :param cut_answer: responses end in the middle of the body
     :param silent: requests run and get no response
     :param shed: requests are refused as not executed
+    :param retry_after: value of ``Retry-After`` in these refusals, if any
     :param fail: requests run and get a response with status 500
+    :param leaving: all responses state that the searcher leaves
     """
 
     delay_s: float = 0.0
@@ -32,7 +34,9 @@
     cut_answer: bool = False
     silent: bool = False
     shed: bool = False
+    retry_after: str | None = None
     fail: bool = False
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +78,8 @@
         # Requests a second that the responses state as the limit, if any.
         self.limit_per_s: float | None = None
         self.started_ms = 1_700_000_000_000
+        # Times of the event loop at which requests were refused, in seconds.
+        self.refused_at: list[float] = []
         self._on_arrival = on_arrival
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -134,15 +140,20 @@
         await reader.readexactly(int(headers.get("content-length", "0")))
         expected = headers.get("x-expect-instance", self.name)
         request_id = headers.get("x-request-id", "")
+        now = asyncio.get_running_loop().time()
+        common_headers = {"Server-Leaving": "1"} if self.faults.leaving else {}
         if expected != self.name:
             await _send_response(
                 writer, 421, {"X-Instance-Id": self.name}, b""
             )
             return True
         if self.faults.shed:
-            await _send_response(writer, 503, {"X-Not-Executed": "1"}, b"")
+            self.refused_at.append(now)
+            refusal_headers = {"X-Not-Executed": "1", **common_headers}
+            if self.faults.retry_after is not None:
+                refusal_headers["Retry-After"] = self.faults.retry_after
+            await _send_response(writer, 503, refusal_headers, b"")
             return True
-        now = asyncio.get_running_loop().time()
         target = lines[0].split(" ")[1]
         self._on_arrival(
             Arrival(self.name, self.service, request_id, target, now)
@@ -153,6 +164,7 @@
             return False
         status = 500 if self.faults.fail else 200
         response_headers = {
+            **common_headers,
             "X-Request-Id": request_id,
             "X-Server-Stamp": build_stamp(self.service, request_id),
             "X-Server-Load": "1,0,2",
