Relay the newest known state to a node that starts in an outage

Finding: a node that restarted while the store was down sent requests to a searcher that had left before (test_restarted_node_does_not_use_a_searcher_ that_has_left failed in both cases: draining and gone).

Cause: a node relays what it read from the store itself. A node that reads from another relay kept the listing of its own start, and gave that to the restarted node, at revision 7 while it had applied revision 9. Ruled out: the emulated store served nothing (503), and the restarted node used what it was given.

--- a/packages/kumquatchute-bench/src/kumquatchute_bench/fault_matrix/collect.py
+++ b/packages/kumquatchute-bench/src/kumquatchute_bench/fault_matrix/collect.py
@@ -10,6 +10,7 @@
 from kumquatchute_bench.fault_matrix.plugin import ProofCollector
 from kumquatchute_bench.fault_matrix.proofs import InvalidMarker
 from kumquatchute_bench.fault_matrix.proofs import Proof
+from kumquatchute_bench.fault_matrix.reports import ReportTest
 
 KNOWN_RED = "KNOWN-RED.txt"
 ERRORS_TITLE = " ERRORS "
@@ -22,6 +23,14 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class Markers:
+    """What the markers of all tests state, without those in KNOWN-RED.txt."""
+
+    proofs: frozenset[Proof]
+    report_tests: frozenset[ReportTest]
+
+
 def collect_proofs(root: Path) -> frozenset[Proof] | CollectionFailed:
     """Read the ``proves`` markers of all tests.
 
@@ -29,6 +38,18 @@
     :returns: the proofs, without those of tests in KNOWN-RED.txt; or why
         the collection failed
     """
+    markers = collect_markers(root)
+    match markers:
+        case CollectionFailed():
+            return markers
+    return markers.proofs
+
+
+def collect_markers(root: Path) -> Markers | CollectionFailed:
+    """Read the markers of all tests.
+
+    :param root: root of the repository
+    """
     collector = ProofCollector()
     output = io.StringIO()
     options = ["--collect-only", "-q", f"--rootdir={root}", str(root)]
@@ -39,8 +60,15 @@
     if collector.invalid_markers:
         return CollectionFailed(_format_markers(collector.invalid_markers))
     known_red = (root / KNOWN_RED).read_text()
-    return frozenset(
-        proof for proof in collector.proofs if proof.test not in known_red
+    return Markers(
+        frozenset(
+            proof for proof in collector.proofs if proof.test not in known_red
+        ),
+        frozenset(
+            item
+            for item in collector.report_tests
+            if item.test not in known_red
+        ),
     )
 
 
--- a/packages/kumquatchute-bench/src/kumquatchute_bench/fault_matrix/command.py
+++ b/packages/kumquatchute-bench/src/kumquatchute_bench/fault_matrix/command.py
@@ -4,7 +4,7 @@
 
 from kumquatchute_bench.fault_matrix.cells import build_matrix
 from kumquatchute_bench.fault_matrix.cells import find_contradictions
-from kumquatchute_bench.fault_matrix.collect import collect_proofs
+from kumquatchute_bench.fault_matrix.collect import collect_markers
 from kumquatchute_bench.fault_matrix.collect import CollectionFailed
 from kumquatchute_bench.fault_matrix.page import render_page
 from kumquatchute_bench.fault_matrix.reasons import REASONS
@@ -20,14 +20,14 @@
     :param check: compare and write nothing
     :returns: an error message; None on success
     """
-    proofs = collect_proofs(root)
-    match proofs:
+    markers = collect_markers(root)
+    match markers:
         case CollectionFailed(reason):
             return reason
-    matrix = build_matrix(proofs, REASONS, WANTED_PAIRS)
+    matrix = build_matrix(markers.proofs, REASONS, WANTED_PAIRS)
     for reason in find_contradictions(matrix, REASONS):
         return f"tests prove a cell that does not apply: {reason.text}"
-    text = render_page(matrix)
+    text = render_page(matrix, markers.report_tests)
     page = root / PAGE
     if not check:
         page.write_text(text)
--- a/packages/kumquatchute-bench/src/kumquatchute_bench/fault_matrix/page.py
+++ b/packages/kumquatchute-bench/src/kumquatchute_bench/fault_matrix/page.py
@@ -1,10 +1,14 @@
 """Writes the matrix as a Markdown page."""
 
+from collections.abc import Iterable
+
 from kumquatchute_bench.fault_matrix.cells import Cell
 from kumquatchute_bench.fault_matrix.cells import Matrix
 from kumquatchute_bench.fault_matrix.cells import NotApplicable
 from kumquatchute_bench.fault_matrix.cells import Open
 from kumquatchute_bench.fault_matrix.cells import Proved
+from kumquatchute_bench.fault_matrix.reports import list_reports
+from kumquatchute_bench.fault_matrix.reports import ReportTest
 from kumquatchute_bench.fault_matrix.steps_and_faults import Fault
 from kumquatchute_bench.fault_matrix.steps_and_faults import Step
 
@@ -25,10 +29,13 @@
 files that contain them and the results of the days played."""
 
 
-def render_page(matrix: Matrix) -> str:
+def render_page(
+    matrix: Matrix, report_tests: Iterable[ReportTest] = ()
+) -> str:
     """Return the text of the page.
 
     :param matrix: cells, pairs and tests
+    :param report_tests: tests of the failures that operators reported
     :returns: Markdown with a final newline
     """
     reasons = _list_reasons(matrix)
@@ -40,6 +47,9 @@
         _format_section(
             "The same fault twice, and pairs of faults", _pair_lines(matrix)
         ),
+        _format_section(
+            "Reports of other operators", list_reports(report_tests)
+        ),
         _format_section("Tests", _test_lines(matrix)),
     )
     return "\n\n".join(sections) + "\n"
--- a/packages/kumquatchute-bench/src/kumquatchute_bench/fault_matrix/tests/test_fault_matrix.py
+++ b/packages/kumquatchute-bench/src/kumquatchute_bench/fault_matrix/tests/test_fault_matrix.py
@@ -12,6 +12,9 @@
 from kumquatchute_bench.fault_matrix.proofs import Proof
 from kumquatchute_bench.fault_matrix.proofs import read_marker
 from kumquatchute_bench.fault_matrix.reasons import Reason
+from kumquatchute_bench.fault_matrix.reports import list_reports
+from kumquatchute_bench.fault_matrix.reports import read_report
+from kumquatchute_bench.fault_matrix.reports import Report
 from kumquatchute_bench.fault_matrix.steps_and_faults import Fault
 from kumquatchute_bench.fault_matrix.steps_and_faults import Step
 
@@ -111,3 +114,13 @@
     result = collect_from(tmp_path, f"@pytest.mark.skip\n{MARKER}")
     assert isinstance(result, CollectionFailed)
     assert f"test_of_{tmp_path.name}.py::test_it" in result.reason
+
+
+def test_report_without_a_test_is_listed_as_open():
+    """Guards against a reported failure that the page leaves out."""
+    assert isinstance(read_report("t", ("no such report",)), InvalidMarker)
+    marked = read_report("a.py::t", ("late copy of an answer",))
+    first, *others = list_reports([marked])
+    assert first.endswith(": `t`")
+    assert len(others) == len(Report) - 1
+    assert all(line.endswith(": open") for line in others)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_fleet_site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_fleet_site.py
@@ -71,6 +71,7 @@
     run_on_site(tmp_path, scenario)
 
 
+@pytest.mark.report("late copy of an answer")
 @pytest.mark.parametrize(
     "fault",
     [
@@ -102,6 +103,7 @@
     run_on_site(tmp_path, scenario)
 
 
+@pytest.mark.report("lost answer run again")
 def test_submission_that_may_have_run_is_not_retried(tmp_path: Path) -> None:
     """Guards against a submission that runs twice.
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_planned_stop.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_planned_stop.py
@@ -49,6 +49,7 @@
     assert not refused_ids & run_counts.keys()
 
 
+@pytest.mark.report("late in the grace cut")
 @pytest.mark.parametrize(
     ("path", "method", "statuses"),
     [
@@ -101,6 +102,7 @@
     run_on_site(tmp_path, scenario, Shape(nodes=("a",), shards=1))
 
 
+@pytest.mark.report("planned stop under load")
 def test_stop_cuts_no_query_on_kept_connections(tmp_path: Path) -> None:
     """Guards against queries that are cut off when a node closes.
 
@@ -125,6 +127,7 @@
     run_on_site(tmp_path, scenario, Shape(nodes=("a",), shards=4))
 
 
+@pytest.mark.report("planned stop under load")
 def test_stop_of_a_node_costs_no_query_of_others(tmp_path: Path) -> None:
     """Guards against delegated shards that are lost with a stopping node.
 
--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -200,27 +200,35 @@
                 call.cancel()
 
     async def _list_stale(self, sources: tuple[Source, ...]) -> None:
-        """Post the state that another node has kept during an outage.
+        """Post the newest state that other nodes have kept in an outage.
 
         It may be out of date, but without it this node could not serve until
-        the store recovers.
+        the store recovers. The nodes do not know equally much: one may have
+        lost its source before another.
         """
-        for source in sources:
-            if source.is_store:
-                continue
-            listing = await self._client.list_all(
-                source, self._decoder, any_age=True
+        relays = [source for source in sources if not source.is_store]
+        results = await asyncio.gather(
+            *(
+                self._client.list_all(source, self._decoder, any_age=True)
+                for source in relays
             )
-            if isinstance(listing, Listing):
-                log.warning(
-                    "old state read topic={} address={} revision={}",
-                    self._topic.value,
-                    source.address,
-                    listing.revision,
-                )
-                self._has_state = True
-                self._post(TopicListed(self._topic, listing.objects))
-                return
+        )
+        listings = [
+            (source, listing)
+            for source, listing in zip(relays, results)
+            if isinstance(listing, Listing)
+        ]
+        if not listings:
+            return
+        source, listing = max(listings, key=lambda item: item[1].revision)
+        log.warning(
+            "old state read topic={} address={} revision={}",
+            self._topic.value,
+            source.address,
+            listing.revision,
+        )
+        self._has_state = True
+        self._post(TopicListed(self._topic, listing.objects))
 
     def _order_by_recent_failure(
         self, sources: tuple[Source, ...]
--- a/packages/kumquatchuted/src/kumquatchuted/notices/tests/test_leaving.py
+++ b/packages/kumquatchuted/src/kumquatchuted/notices/tests/test_leaving.py
@@ -1,5 +1,7 @@
 """Processes of searchers that leave, through listings and restarts."""
 
+import pytest
+
 from kumquatchuted.notices.leaving import add_processes
 from kumquatchuted.notices.leaving import KEEP_UNLISTED_S
 from kumquatchuted.notices.leaving import LeavingProcesses
@@ -10,6 +12,7 @@
 NEW = ProcessId("i-1", 2)
 
 
+@pytest.mark.report("withdrawn used after a restart")
 def test_listing_does_not_undo_what_a_process_stated() -> None:
     """Guards against a leaving searcher that is used again.
 
--- a/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
@@ -97,9 +97,10 @@
                 break
             query = query | {"after": page.items[-1].name}
         contents = {name: item.content for name, item in items.items()}
-        if source.is_store:
-            encoded = {name: _encode(item) for name, item in items.items()}
-            self._relay.record_listing(decoder.kind, encoded, revision or 0)
+        encoded = {name: _encode(item) for name, item in items.items()}
+        self._relay.record_listing(
+            decoder.kind, encoded, revision or 0, source.is_store
+        )
         return Listing(
             tuple(
                 DecodedObject(name, decoder.decode(name, content))
@@ -136,12 +137,13 @@
             event.item.name: None if event.removed else event.item.content
             for event in batch.events
         }
-        if source.is_store:
-            encoded = {
-                event.item.name: None if event.removed else _encode(event.item)
-                for event in batch.events
-            }
-            self._relay.record_changes(decoder.kind, encoded, batch.revision)
+        encoded = {
+            event.item.name: None if event.removed else _encode(event.item)
+            for event in batch.events
+        }
+        self._relay.record_changes(
+            decoder.kind, encoded, batch.revision, source.is_store
+        )
         return Changes(
             tuple(
                 DecodedObject(name, decoder.decode(name, content))
--- a/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections import deque
 from dataclasses import dataclass
+import math
 
 import msgspec
 
@@ -86,15 +87,26 @@
         self._kinds: dict[str, _CachedKind] = {}
 
     def record_listing(
-        self, kind: str, items: dict[str, msgspec.Raw], revision: int
+        self,
+        kind: str,
+        items: dict[str, msgspec.Raw],
+        revision: int,
+        is_from_store: bool = True,
     ) -> None:
-        """Replace the objects of a kind with a complete listing."""
-        now = self._clock()
+        """Replace the objects of a kind with a complete listing.
+
+        A listing of another node does not confirm that the objects are those
+        of the store. It is kept for nodes that start during an outage, unless
+        it is older than what is known.
+        """
+        confirmed_at = self._clock() if is_from_store else -math.inf
         cached = self._kinds.get(kind)
-        if cached is None or revision < cached.revision:
-            self._kinds[kind] = _CachedKind(items, revision, now)
+        if cached is None or (is_from_store and revision < cached.revision):
+            self._kinds[kind] = _CachedKind(items, revision, confirmed_at)
             return
-        cached.confirmed_at = now
+        if revision < cached.revision:
+            return
+        cached.confirmed_at = max(cached.confirmed_at, confirmed_at)
         names = [
             name
             for name in {**cached.items, **items}
@@ -108,12 +120,19 @@
         kind: str,
         changes: dict[str, msgspec.Raw | None],
         revision: int,
+        is_from_store: bool = True,
     ) -> None:
-        """Apply changes of the store; None stands for a removed object."""
+        """Apply changes; None stands for a removed object.
+
+        :param is_from_store: whether the store itself sent them
+        """
         cached = self._kinds.get(kind)
-        if cached is None:
+        if cached is None or (
+            not is_from_store and revision < cached.revision
+        ):
             return
-        cached.confirmed_at = self._clock()
+        if is_from_store:
+            cached.confirmed_at = self._clock()
         for name, item in changes.items():
             if item is None:
                 cached.items.pop(name, None)
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
@@ -78,6 +78,7 @@
     assert not transport.closing
 
 
+@pytest.mark.report("late copy of an answer")
 def test_response_to_an_earlier_request_is_skipped() -> None:
     """Guards against a caller that gets the answer to another request.
 
--- a/packages/kumquatchuted/src/kumquatchuted/tests/test_handle_messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/tests/test_handle_messages.py
@@ -3,11 +3,13 @@
 import asyncio
 
 import logbook
+import pytest
 
 from kumquatchuted.mailbox import handle_messages
 from kumquatchuted.mailbox import Mailbox
 
 
+@pytest.mark.report("one message ends a process")
 def test_unexpected_error_does_not_end_a_task() -> None:
     """Guards against one message that takes the whole process down.
 
