Divide retry budgets by who sends, and wait only for needed shards

Ruled out: refused connections (no attempt was refused as busy), lost attempts (none).

A node starts with an empty bucket, so that restarts add nothing; the buckets can then use 0.85 of the slack in any window in place of 0.7.

--- a/packages/kumquatchuted/src/kumquatchuted/notices/searcher_notices.py
+++ b/packages/kumquatchuted/src/kumquatchuted/notices/searcher_notices.py
@@ -91,7 +91,7 @@
 
     def on_request_run(self, process: ProcessId) -> None:
         """End the pause of a process that runs requests again."""
-        if self._pauses.pop(process, None) is not None:
+        if self._pauses and self._pauses.pop(process, None) is not None:
             log.info("searcher pause ended searcher={}", process.name)
 
     def is_leaving(self, searcher: RegisteredSearcher) -> bool:
@@ -106,6 +106,9 @@
         :param pending: number of pending attempts on the searcher
         :param now: monotonic time in seconds
         """
+        if not self._pauses:
+            # This is asked for each candidate of each attempt.
+            return True
         pause = self._pauses.get(process_of(searcher))
         return pause is None or may_send(pause, pending, now)
 
--- a/packages/kumquatchuted/src/kumquatchuted/retries/budget.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/budget.py
@@ -3,7 +3,8 @@
 The limit of a service holds for all nodes together: in each window they may
 send as many retries as a ratio of its requests plus a fixed slack. A node adds
 tokens to its bucket with each request, according to the ratio, and over time,
-according to its part of the slack.
+according to its share of the slack. A node starts with an empty bucket, so
+that the restart of nodes adds no tokens.
 """
 
 from dataclasses import dataclass
@@ -11,10 +12,10 @@
 
 # Shares of the limits that the nodes use: of the ratio, of the slack as the
 # capacity of their buckets, and of the slack as their refill per window. The
-# rest covers nodes that restart with a new budget within the window.
+# rest covers nodes with an old list of the others.
 RATIO_SHARE = 0.6
-BURST_SHARE = 0.3
-REFILL_SHARE = 0.4
+BURST_SHARE = 0.4
+REFILL_SHARE = 0.45
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,37 +44,39 @@
     refilled_at: float
 
 
-def initial_budget(limits: BudgetLimits, nodes: int, now: float) -> Budget:
+def initial_budget(now: float) -> Budget:
     """Return the budget of a node at its start.
 
-    :param nodes: number of nodes that share the limits
     :param now: monotonic time in seconds
     """
-    return Budget(limits.slack * BURST_SHARE / max(1, nodes), now)
+    return Budget(0.0, now)
 
 
 def refill(
-    budget: Budget, limits: BudgetLimits, nodes: int, now: float
+    budget: Budget, limits: BudgetLimits, share: float, now: float
 ) -> Budget:
     """Return the budget with the slack of the time since the last refill.
 
-    :param nodes: number of nodes that share the limits
+    :param share: this node's share of the slack, from 0 to 1
     :param now: monotonic time in seconds
     """
     elapsed_s = max(0.0, now - budget.refilled_at)
-    tokens_per_s = (
-        limits.slack * REFILL_SHARE / max(1, nodes) / limits.window_s
-    )
+    tokens_per_s = limits.slack * REFILL_SHARE * share / limits.window_s
     tokens = min(
-        _max_tokens(limits, nodes), budget.tokens + elapsed_s * tokens_per_s
+        _max_tokens(limits, share), budget.tokens + elapsed_s * tokens_per_s
     )
     return Budget(tokens, now)
 
 
-def record_request(budget: Budget, limits: BudgetLimits, nodes: int) -> Budget:
-    """Return the budget with the tokens that one request adds."""
+def record_request(
+    budget: Budget, limits: BudgetLimits, share: float
+) -> Budget:
+    """Return the budget with the tokens that one request adds.
+
+    :param share: this node's share of the slack, from 0 to 1
+    """
     tokens = budget.tokens + limits.ratio * RATIO_SHARE
-    return replace(budget, tokens=min(_max_tokens(limits, nodes), tokens))
+    return replace(budget, tokens=min(_max_tokens(limits, share), tokens))
 
 
 def take_token(budget: Budget) -> Budget | None:
@@ -83,10 +86,10 @@
     return replace(budget, tokens=budget.tokens - 1)
 
 
-def _max_tokens(limits: BudgetLimits, nodes: int) -> float:
+def _max_tokens(limits: BudgetLimits, share: float) -> float:
     """Return the capacity of the bucket, at least one token.
 
-    With many nodes a node's part of the slack is below one token, and a bucket
-    of that capacity would never allow a retry.
+    With many nodes a node's share of the slack is below one token, and a
+    bucket of that capacity would never allow a retry.
     """
-    return max(1.0, limits.slack * BURST_SHARE / max(1, nodes))
+    return max(1.0, limits.slack * BURST_SHARE * share)
--- a/packages/kumquatchuted/src/kumquatchuted/retries/service_budgets.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/service_budgets.py
@@ -9,26 +9,27 @@
     """Owns the retry budget of each service."""
 
     def __init__(
-        self, limits: retry_budget.BudgetLimits, clock: Callable[[], float]
+        self,
+        limits: retry_budget.BudgetLimits,
+        share_of: Callable[[str], float],
+        clock: Callable[[], float],
     ) -> None:
         """Create the budgets of one node.
 
         :param limits: limits for all nodes together
+        :param share_of: returns this node's share of the slack of a service
         :param clock: monotonic time in seconds
         """
         self._limits = limits
+        self._share_of = share_of
         self._clock = clock
-        self._node_count = 1
+        self._started_at = clock()
         self._budgets: dict[str, retry_budget.Budget] = {}
 
     def set_limits(self, limits: retry_budget.BudgetLimits) -> None:
         """Replace the limits for all nodes together."""
         self._limits = limits
 
-    def set_node_count(self, node_count: int) -> None:
-        """Set the number of nodes that share the limits."""
-        self._node_count = node_count
-
     def has_token(self, service: str) -> bool:
         """Return whether one more retry is allowed."""
         return retry_budget.take_token(self._budget(service)) is not None
@@ -42,14 +43,13 @@
     def record_request(self, service: str) -> None:
         """Add the tokens of one request for a service."""
         self._budgets[service] = retry_budget.record_request(
-            self._budget(service), self._limits, self._node_count
+            self._budget(service), self._limits, self._share_of(service)
         )
 
     def _budget(self, service: str) -> retry_budget.Budget:
         budget = self._budgets.get(service)
-        now = self._clock()
         if budget is None:
-            return retry_budget.initial_budget(
-                self._limits, self._node_count, now
-            )
-        return retry_budget.refill(budget, self._limits, self._node_count, now)
+            budget = retry_budget.initial_budget(self._started_at)
+        return retry_budget.refill(
+            budget, self._limits, self._share_of(service), self._clock()
+        )
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
@@ -12,6 +12,7 @@
 
 from kumquatchuted.gateway.settings import GatewaySettings
 from kumquatchuted.limits.shares import connection_share
+from kumquatchuted.limits.shares import sender_share
 from kumquatchuted.membership.messages import MembersChanged
 from kumquatchuted.membership.messages import RegisteredSearcher
 from kumquatchuted.notices.messages import Notice
@@ -59,7 +60,10 @@
         self._searcher_counts: Counter[str] = Counter()
         self._usable_by_service: dict[str, list[RegisteredSearcher]] = {}
         self._nodes: frozenset[str] = frozenset((cfg.node,))
+        self._node_dcs = {cfg.node: cfg.data_centre}
         self._dcs_with_other_nodes: frozenset[str] = frozenset()
+        # Derived from the usable searchers and the nodes when it is needed.
+        self._retry_shares: dict[str, float] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._loads: dict[str, searcher_load.Load] = {}
         self._cold_limits = ColdLimits()
@@ -67,9 +71,17 @@
         self._notices = SearcherNotices(rng.random)
         self._latencies: dict[str, LatencyEstimate] = {}
 
-    def node_count(self) -> int:
-        """Return the number of nodes that share the limits."""
-        return len(self._nodes)
+    def retry_share(self, service: str) -> float:
+        """Return this node's share of the retries for a service."""
+        share = self._retry_shares.get(service)
+        if share is None:
+            target_dcs = {
+                searcher.data_centre
+                for searcher in self._usable_by_service.get(service, ())
+            }
+            share = sender_share(self._cfg.node, self._node_dcs, target_dcs)
+            self._retry_shares[service] = share
+        return share
 
     def latency_of(self, route: Route) -> LatencyEstimate:
         """Return the estimated latency of a route."""
@@ -379,11 +391,10 @@
             for name, node in message.nodes.items()
             if name != self._cfg.node
         )
-        self._stated_limits.set_members(
-            self._searchers,
-            locate_nodes(message.nodes, self._cfg.node, self._cfg.data_centre),
-            now,
+        self._node_dcs = locate_nodes(
+            message.nodes, self._cfg.node, self._cfg.data_centre
         )
+        self._stated_limits.set_members(self._searchers, self._node_dcs, now)
         gone = find_ended(former, self._searchers)
         for name in gone:
             self._discard_state(name)
@@ -399,6 +410,7 @@
         return gone
 
     def _update_usable(self) -> None:
+        self._retry_shares.clear()
         self._usable_by_service = group_usable(
             (
                 searcher
@@ -432,6 +444,8 @@
     def _is_within_cold_limit(
         self, searcher: RegisteredSearcher, now: float
     ) -> bool:
+        if not self._cold_limits.is_cold(searcher.name, now):
+            return True
         spec = self._specs.get(searcher.service, DEFAULT_SPEC)
         return self._cold_limits.is_within(
             searcher, spec, self._cfg, self._nodes, now
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/cold_limits.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/cold_limits.py
@@ -43,13 +43,11 @@
         nodes: Collection[str],
         now: float,
     ) -> bool:
-        """Return whether this node may send one more request.
+        """Return whether this node may send one more request to a cold one.
 
         :param nodes: names of the nodes that share the limit
         :param now: monotonic time in seconds
         """
-        if self._cold_until.get(searcher.name, 0.0) <= now:
-            return True
         fleet_limit = (
             spec.cold_requests_per_s * cfg.limits.warmup_factor
             + cfg.limits.warmup_slack
@@ -109,6 +107,13 @@
         if was_refused or not is_local_fault:
             self._extend(name, cold_until)
 
+    def is_cold(self, name: str, now: float) -> bool:
+        """Return whether a searcher counts as cold.
+
+        :param now: monotonic time in seconds
+        """
+        return self._cold_until.get(name, 0.0) > now
+
     def remaining_s(self, name: str, now: float) -> float:
         """Return how long a searcher still counts as cold, in seconds.
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/shards.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/shards.py
@@ -43,6 +43,10 @@
     first = attempts[0]
     services = tuple(attempt.service for attempt in attempts)
     max_searchers = max(balancer.searcher_count(name) for name in services)
+    # With more shards missing, the query cannot succeed even if all others
+    # respond.
+    allowed_missing = len(message.attempts) - message.min_usable
+    min_shards = max(0, len(attempts) - allowed_missing)
     return SendPartialQuery(
         key=(first.key, group.data_centre),
         route=first.route,
@@ -52,7 +56,7 @@
         top_k=message.top_k,
         has_few_searchers=max_searchers <= first.route.max_attempts,
         outgoing=first.outgoing,
-        min_coverage=message.min_usable / len(message.attempts),
+        min_coverage=min_shards / len(attempts),
         deadline=message.partial_deadline,
         latest_deadline=first.deadline,
         leaving=balancer.leaving_processes(services),
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -74,7 +74,9 @@
         self._pool = ConnectionPool(
             HEAD_CODEC, self.mailbox.post, max_connections
         )
-        self._budgets = ServiceBudgets(_budget_limits(cfg), clock)
+        self._budgets = ServiceBudgets(
+            _budget_limits(cfg), self._balancer.retry_share, clock
+        )
         self._attempts = Attempts(
             self._balancer,
             self._pool,
@@ -124,7 +126,6 @@
             case MembersChanged():
                 for name in self._balancer.set_members(message, self._clock()):
                     self._pool.close_idle(name)
-                self._budgets.set_node_count(self._balancer.node_count())
             case SettingsChanged(cfg=cfg):
                 self._balancer.set_settings(cfg)
                 self._budgets.set_limits(_budget_limits(cfg))
