Split the load balancer and the attempts of searchers

The loads and latencies that this node observes have an owner of their own, and the messages of pending attempts a module of their own.

--- a/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from dataclasses import replace
 
 from logbook import Logger
@@ -24,6 +23,9 @@
 from kumquatchuted.searchers.messages import RefusalCause
 from kumquatchuted.searchers.messages import SearcherResponse
 from kumquatchuted.searchers.messages import SendAttempt
+from kumquatchuted.searchers.pending import LingerExpired
+from kumquatchuted.searchers.pending import PendingAttempt
+from kumquatchuted.searchers.pending import ReconnectDue
 from kumquatchuted.searchers.pool import ConnectionPool
 from kumquatchuted.searchers.waiting import latest_start
 from kumquatchuted.searchers.waiting import WaitExpired
@@ -36,38 +38,6 @@
 RECONNECT_S = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class PendingAttempt:
-    """An attempt without a result.
-
-    :param message: the message that requested it
-    :param searcher: name of the chosen searcher
-    :param started_at: monotonic time in seconds
-    :param connection: carries the request, or will once it is open
-    :param is_sent: whether the request was written to the connection
-    """
-
-    message: SendAttempt
-    searcher: str
-    started_at: float
-    connection: Connection
-    is_sent: bool
-
-
-@dataclass(frozen=True, slots=True)
-class LingerExpired:
-    """The linger time of an abandoned attempt is over."""
-
-    key: object
-
-
-@dataclass(frozen=True, slots=True)
-class ReconnectDue:
-    """An attempt without a connection is to get one."""
-
-    key: object
-
-
 class Attempts:
     """Owns the attempts that are pending or wait for a connection."""
 
@@ -217,7 +187,7 @@
         attempt = self._attempts.pop(key, None)
         if attempt is None:
             return
-        self._balancer.on_attempt_abandoned(
+        self._balancer.loads.abandon(
             attempt.searcher,
             attempt.message.route,
             attempt.started_at,
@@ -292,7 +262,9 @@
         self._attempts[message.key] = PendingAttempt(
             message, searcher, now, connection, is_sent=False
         )
-        hedge_delay_s = self._balancer.latency_of(message.route).hedge_delay_s
+        hedge_delay_s = self._balancer.loads.latency_of(
+            message.route
+        ).hedge_delay_s
         message.reply_to(AttemptAssigned(message.key, searcher, hedge_delay_s))
         self._use_connection(message.key, connection)
 
@@ -329,9 +301,9 @@
         else:
             limit_per_s = codec.decode_limit(event.response)
             self._balancer.on_limit_stated(attempt.searcher, limit_per_s, now)
-        own_attempts = self._balancer.pending_count(attempt.searcher)
+        own_attempts = self._balancer.loads.pending_count(attempt.searcher)
         report = codec.decode_load(event.response, now, own_attempts)
-        self._balancer.on_load_reported(attempt.searcher, report)
+        self._balancer.loads.report(attempt.searcher, report)
         attempt.message.reply_to(
             AttemptDone(event.key, attempt.searcher, response)
         )
@@ -344,9 +316,9 @@
             route = attempt.message.route
             self._balancer.on_attempt_succeeded(name, route, started_at, now)
             return
-        self._balancer.on_attempt_failed(name, started_at, now)
+        self._balancer.loads.fail(name, started_at, now)
         if response.wrong_process:
-            self._balancer.on_process_replaced(name, now)
+            self._balancer.loads.begin_backoff(name, now)
         log.info(
             "attempt failed searcher={} status={} ran={} request={}",
             name,
@@ -366,7 +338,7 @@
             return
         del self._attempts[key]
         if attempt.is_sent and attempt.connection.has_responded:
-            self._balancer.on_attempt_failed(name, attempt.started_at, now)
+            self._balancer.loads.fail(name, attempt.started_at, now)
         elif attempt.is_sent:
             self._balancer.on_first_response_lost(
                 name, attempt.started_at, now
@@ -381,9 +353,7 @@
     def _cancel_unsent(self, key: object, reason: str) -> None:
         """End an attempt that was not sent, without blame on the searcher."""
         attempt = self._attempts.pop(key)
-        self._balancer.on_attempt_cancelled(
-            attempt.searcher, attempt.started_at
-        )
+        self._balancer.loads.cancel(attempt.searcher, attempt.started_at)
         self._report_loss(key, attempt, reason)
 
     def _report_loss(
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
@@ -27,10 +27,8 @@
 from kumquatchuted.searchers.choice import Candidate
 from kumquatchuted.searchers.choice import choose_searcher
 from kumquatchuted.searchers.cold_limits import ColdLimits
-from kumquatchuted.searchers.latency import initial_latency
-from kumquatchuted.searchers.latency import LatencyEstimate
-from kumquatchuted.searchers.latency import record_latency
 from kumquatchuted.searchers import load as searcher_load
+from kumquatchuted.searchers.load_table import LoadTable
 from kumquatchuted.searchers.members import find_ended
 from kumquatchuted.searchers.members import group_usable
 from kumquatchuted.searchers.members import locate_nodes
@@ -45,11 +43,13 @@
 # 3 s of warm-up and a cold rate of zero, so that a cold searcher receives only
 # ``warmup_slack`` requests per second.
 DEFAULT_SPEC = ServiceSpec("", 8, 3.0, 0.0)
-INITIAL_LOAD = searcher_load.Load()
 
 
 class LoadBalancer:
-    """Owns members, loads, warm-up times and latency estimates."""
+    """Owns members and what this node knows of each searcher.
+
+    ``loads`` has what this node observes of them.
+    """
 
     def __init__(self, cfg: GatewaySettings, rng: random.Random) -> None:
         """Create a balancer without searchers."""
@@ -65,11 +65,10 @@
         # Derived from the usable searchers and the nodes when it is needed.
         self._retry_shares: dict[str, float] = {}
         self._evacuated: frozenset[str] = frozenset()
-        self._loads: dict[str, searcher_load.Load] = {}
+        self.loads = LoadTable()
         self._cold_limits = ColdLimits()
         self._stated_limits = StatedLimits(cfg.node)
         self._notices = SearcherNotices(rng.random)
-        self._latencies: dict[str, LatencyEstimate] = {}
 
     def retry_share(self, service: str) -> float:
         """Return this node's share of the retries for a service."""
@@ -83,13 +82,6 @@
             self._retry_shares[service] = share
         return share
 
-    def latency_of(self, route: Route) -> LatencyEstimate:
-        """Return the estimated latency of a route."""
-        latency = self._latencies.get(route.name)
-        return (
-            initial_latency(route.objective_s) if latency is None else latency
-        )
-
     # Choice of searchers
 
     def choose(
@@ -124,7 +116,7 @@
         }
         chosen = choose_searcher(
             (self._candidate(searcher) for searcher in usable.values()),
-            self.latency_of(route).median_s,
+            self.loads.latency_of(route).median_s,
             now,
             self._rng.random,
         )
@@ -150,7 +142,7 @@
                 for candidate in self._usable_by_service.get(
                     services[shard], ()
                 )
-                if self._load(candidate.name).avoided_until <= now
+                if self.loads.load_of(candidate.name).avoided_until <= now
             }
             for shard, searcher in enumerate(chosen)
             if searcher is not None and searcher.data_centre != local_dc
@@ -181,7 +173,7 @@
 
     def on_attempt_started(self, name: str, now: float) -> None:
         """Add a pending attempt and record the send."""
-        self._loads[name] = searcher_load.start_attempt(self._load(name), now)
+        self.loads.start(name, now)
         self._cold_limits.record_send(name, now)
         self._stated_limits.record_send(name, now)
 
@@ -195,43 +187,7 @@
         searcher = self._searchers.get(name)
         if searcher is not None:
             self._notices.on_request_run(process_of(searcher))
-        latency = self.latency_of(route)
-        elapsed_s = now - started_at
-        load = searcher_load.end_attempt(self._load(name), started_at)
-        self._loads[name] = searcher_load.record_response(
-            load, elapsed_s, latency.median_s, now
-        )
-        self._latencies[route.name] = record_latency(
-            latency, elapsed_s, route.objective_s
-        )
-
-    def on_attempt_failed(
-        self, name: str, started_at: float, now: float
-    ) -> None:
-        """Update the load after an attempt without a usable response."""
-        load = searcher_load.end_attempt(self._load(name), started_at)
-        self._loads[name] = searcher_load.record_failure(load, now)
-
-    def on_attempt_abandoned(
-        self, name: str, route: Route, started_at: float, now: float
-    ) -> None:
-        """Update the load after an attempt whose result is not needed.
-
-        An overdue attempt counts as failed.
-        """
-        median_s = self.latency_of(route).median_s
-        if now - started_at > searcher_load.OVERDUE_FACTOR * median_s:
-            self.on_attempt_failed(name, started_at, now)
-        else:
-            self._loads[name] = searcher_load.end_attempt(
-                self._load(name), started_at
-            )
-
-    def on_attempt_cancelled(self, name: str, started_at: float) -> None:
-        """Remove an attempt that was not sent and tells nothing."""
-        self._loads[name] = searcher_load.end_attempt(
-            self._load(name), started_at
-        )
+        self.loads.succeed(name, route, started_at, now)
 
     def on_connect_failed(
         self, name: str, started_at: float, was_refused: bool, now: float
@@ -245,8 +201,7 @@
         :param started_at: start of the attempt, in monotonic seconds
         :param was_refused: whether its host refused the connection
         """
-        load = searcher_load.end_attempt(self._load(name), started_at)
-        self._loads[name] = searcher_load.record_connection_failure(load, now)
+        self.loads.lose_connection(name, started_at, now)
         self._assume_restart(name, now, was_refused)
 
     def _assume_restart(
@@ -256,7 +211,7 @@
         if searcher is None:
             return
         spec = self._specs.get(searcher.service, DEFAULT_SPEC)
-        available_at = max(now, self._load(name).avoided_until)
+        available_at = max(now, self.loads.load_of(name).avoided_until)
         self._cold_limits.assume_restart(
             name,
             was_refused,
@@ -275,26 +230,10 @@
         a usable response in between, the searcher counts as restarted and
         therefore as cold. The store may report the restart only later.
         """
-        load = searcher_load.end_attempt(self._load(name), started_at)
-        self._loads[name] = searcher_load.record_connection_failure(load, now)
-        if self._loads[name].connection_failures >= MIN_FAILURES_FOR_RESTART:
+        failures = self.loads.lose_connection(name, started_at, now)
+        if failures >= MIN_FAILURES_FOR_RESTART:
             self._assume_restart(name, now, was_refused=False)
 
-    def on_process_replaced(self, name: str, now: float) -> None:
-        """Begin a backoff: another process now has the searcher's address."""
-        self._loads[name] = searcher_load.record_connection_failure(
-            self._load(name), now
-        )
-
-    def on_load_reported(
-        self, name: str, report: searcher_load.LoadReport | None
-    ) -> None:
-        """Store the load report of a searcher, if its response has one."""
-        if report is not None:
-            self._loads[name] = searcher_load.record_report(
-                self._load(name), report
-            )
-
     def on_limit_stated(
         self, name: str, limit_per_s: float | None, now: float
     ) -> None:
@@ -340,7 +279,7 @@
         searcher = self._searchers.get(name)
         if searcher is None:
             return False
-        own_pending = self.pending_count(name) - 1
+        own_pending = self.loads.pending_count(name) - 1
         return not self._notices.is_leaving(searcher) and (
             self._notices.may_send(searcher, max(0, own_pending), now)
         )
@@ -354,13 +293,9 @@
             self._usable_by_service.get(service, ()), now
         )
 
-    def pending_count(self, name: str) -> int:
-        """Return the number of pending attempts on a searcher."""
-        return len(self._load(name).pending)
-
     def describe_load(self, name: str, now: float) -> str:
         """Return fields for the log that explain the choice of a searcher."""
-        load = searcher_load.decay(self._load(name), now)
+        load = searcher_load.decay(self.loads.load_of(name), now)
         cold_s = self._cold_limits.remaining_s(name, now)
         return (
             f"pending={len(load.pending)} slowness={load.latency_ratio:.1f}"
@@ -421,7 +356,7 @@
         )
 
     def _wants_request(self, searcher: RegisteredSearcher, now: float) -> bool:
-        pending = self.pending_count(searcher.name)
+        pending = self.loads.pending_count(searcher.name)
         return self._stated_limits.may_send(
             searcher.name, now
         ) and self._notices.may_send(searcher, pending, now)
@@ -431,7 +366,7 @@
             searcher.name,
             searcher.capacity,
             searcher.data_centre == self._cfg.data_centre,
-            self._load(searcher.name),
+            self.loads.load_of(searcher.name),
         )
 
     def _is_delegable(self, searcher: RegisteredSearcher) -> bool:
@@ -451,11 +386,8 @@
             searcher, spec, self._cfg, self._nodes, now
         )
 
-    def _load(self, name: str) -> searcher_load.Load:
-        return self._loads.get(name, INITIAL_LOAD)
-
     def _discard_state(self, name: str) -> None:
         log.info("searcher process gone searcher={}", name)
-        self._loads.pop(name, None)
+        self.loads.discard(name)
         self._stated_limits.discard(name)
         self._cold_limits.discard(name, is_restarted=name in self._searchers)
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -23,8 +23,6 @@
 from kumquatchuted.retries.service_budgets import ServiceBudgets
 from kumquatchuted.routing.messages import ManifestChanged
 from kumquatchuted.searchers.attempts import Attempts
-from kumquatchuted.searchers.attempts import LingerExpired
-from kumquatchuted.searchers.attempts import ReconnectDue
 from kumquatchuted.searchers.balancer import LoadBalancer
 from kumquatchuted.searchers.connection import ConnectionClosed
 from kumquatchuted.searchers.connection import ConnectionOpened
@@ -35,6 +33,8 @@
 from kumquatchuted.searchers.messages import RequestReceived
 from kumquatchuted.searchers.messages import SendAttempt
 from kumquatchuted.searchers.messages import SendShards
+from kumquatchuted.searchers.pending import LingerExpired
+from kumquatchuted.searchers.pending import ReconnectDue
 from kumquatchuted.searchers.pool import ConnectionPool
 from kumquatchuted.searchers.shards import build_partial_query
 from kumquatchuted.searchers.shards import refuse_uncovered
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/waiting_attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/waiting_attempts.py
@@ -31,7 +31,7 @@
         connections = self._balancer.connection_limit(
             service
         ) * self._balancer.searcher_count(service)
-        median_s = self._balancer.latency_of(message.route).median_s
+        median_s = self._balancer.loads.latency_of(message.route).median_s
         if not may_wait(queue, message, connections, median_s, now):
             return False
         self._queues[service] = enqueue(queue, message)
