--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
@@ -36,6 +36,11 @@
 # searcher that states a limit. Those of smaller seeds stay as they are, so
 # that they still reproduce what was found with them.
 FIRST_SEED_WITH_LIMITS = 1_000_000
+# Plans from this seed on also have searchers that refuse requests and ask for
+# a pause.
+FIRST_SEED_WITH_PAUSES = 2_000_000
+PAUSE_SHARE = 0.15
+MAX_PAUSE_S = 2.0
 # Time until which the searcher begins to state its limit.
 LIMIT_STARTS_BEFORE_S = 2.0
 MAX_LIMIT_PER_S = 6.0
@@ -71,6 +76,12 @@
         if has_limits and rng.random() < KIND_SILENCE_SHARE:
             decoder = rng.choice((SEARCHER_DECODER, EVACUATION_DECODER))
             disturbance = SetStoreFault(SilenceWatches(decoder.kind))
+        elif seed >= FIRST_SEED_WITH_PAUSES and rng.random() < PAUSE_SHARE:
+            retry_after = f"{rng.uniform(0.2, MAX_PAUSE_S):.2f}"
+            disturbance = SetSearcherFaults(
+                rng.randrange(searchers),
+                SearcherFaults(shed=True, retry_after=retry_after),
+            )
         else:
             disturbance = _draw_disturbance(
                 rng, nodes, searchers, links, data_centres
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/tests/test_soak.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/tests/test_soak.py
@@ -8,8 +8,9 @@
 from kumquatchute_standins.soak.run import run_seed
 
 # Seeds from 10,000 on also disturb links between nodes. Those from 1,000,000
-# on have a searcher that states a limit, and silent watches of single kinds.
-SHORT_RUN_SEEDS = (1, 2, 3, 10_001, 10_002, 1_000_001, 1_000_002)
+# on have a searcher that states a limit, and silent watches of single kinds;
+# those from 2,000,000 on searchers that ask for a pause.
+SHORT_RUN_SEEDS = (1, 2, 3, 10_001, 10_002, 1_000_001, 1_000_002, 2_000_001)
 # 122 and 147: a searcher restarted behind a proxy while the watches of the
 # store were silent, and got more requests than the limit of a cold one.
 REGRESSION_SEEDS = (122, 147)
