--- a/packages/kumquatchuted/src/kumquatchuted/limits/shares.py
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/shares.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 import math
 
 import xxhash
@@ -13,8 +14,8 @@
 # Share of a limit that is distributed. The rest covers nodes that have not yet
 # seen a change of the list of nodes.
 ALLOCATED_SHARE = 0.8
-# Part of a limit for the nodes that send nearly all requests.
-SENDER_SHARE = 0.9
+# Part of a limit for the nodes in the data centres of the searchers.
+NEAR_SHARE = 0.9
 
 
 def cold_rate_share(
@@ -44,25 +45,25 @@
 
 
 def sender_share(
-    node: str, nodes: Collection[str], senders: Collection[str]
+    node: str, node_dcs: Mapping[str, str], target_dcs: Collection[str]
 ) -> float:
     """Return a node's share of a limit on what all nodes send to a service.
 
-    Some nodes send nearly all requests, because the others delegate theirs to
-    them. Those only need a small part, for when they cannot.
+    A query is sent by a node in a data centre of the searchers; the other
+    nodes delegate it. They only need a small part, for when they cannot.
 
-    :param node: name of a node that ``nodes`` contains
-    :param nodes: names of all nodes
-    :param senders: names of those that send
+    :param node: name of a node that ``node_dcs`` contains
+    :param node_dcs: data centre of each node by name
+    :param target_dcs: data centres with a searcher of the service
     :returns: a share from 0 to 1; the shares of all nodes add up to 1
     """
-    sender_count = len(senders)
-    other_count = len(nodes) - sender_count
-    if not sender_count or not other_count:
-        return 1 / len(nodes)
-    if node in senders:
-        return SENDER_SHARE / sender_count
-    return (1 - SENDER_SHARE) / other_count
+    near = sum(dc in target_dcs for dc in node_dcs.values())
+    far = len(node_dcs) - near
+    if not near or not far:
+        return 1 / len(node_dcs)
+    if node_dcs[node] in target_dcs:
+        return NEAR_SHARE / near
+    return (1 - NEAR_SHARE) / far
 
 
 def connection_share(nodes: Iterable[str], fleet_limit: int) -> int:
--- a/packages/kumquatchuted/src/kumquatchuted/partials/grouping.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/grouping.py
@@ -7,7 +7,6 @@
 read that many requests.
 """
 
-from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -37,7 +36,6 @@
     reachable: Mapping[int, Collection[str]],
     local_dc: str,
     dcs_with_nodes: Collection[str],
-    rotation: int = 0,
 ) -> tuple[ShardGroup, ...]:
     """Return groups of the shards that have no usable searcher locally.
 
@@ -50,8 +48,6 @@
         the shard
     :param local_dc: data centre of this node
     :param dcs_with_nodes: data centres with another node
-    :param rotation: varies from query to query which of several data centres
-        gets which shards
     """
     remaining = {
         shard: set(data_centres) & set(dcs_with_nodes)
@@ -59,7 +55,7 @@
         if data_centres and local_dc not in data_centres
     }
     if len(remaining) > MAX_SHARDS_PER_NODE:
-        remaining = _balance(remaining, rotation)
+        remaining = _balance(remaining)
     groups = []
     while True:
         counts: dict[str, int] = {}
@@ -82,44 +78,19 @@
 
 
 def split_local_shards(
-    shards: Sequence[int],
-    local_dc: str,
-    dcs_with_nodes: Collection[str],
-    is_owned: Callable[[ShardGroup], bool],
+    shards: Sequence[int], local_dc: str, dcs_with_nodes: Collection[str]
 ) -> tuple[ShardGroup, ...]:
     """Return groups of shards to delegate to nodes of the same data centre.
 
-    This node keeps one group that it owns, or the only group.
+    This node keeps a part that is as large as each group.
 
     :param shards: positions of the shards with a usable searcher locally
     :param local_dc: data centre of this node
     :param dcs_with_nodes: data centres with another node
-    :param is_owned: returns whether this node owns a group
     """
-    if local_dc not in dcs_with_nodes or not shards:
-        return ()
-    groups = divide(local_dc, shards)
-    if len(groups) == 1:
+    if local_dc not in dcs_with_nodes:
         return ()
-    kept = next((group for group in groups if is_owned(group)), None)
-    return tuple(group for group in groups if group is not kept)
-
-
-def find_affinities(services: Sequence[str]) -> dict[str, str]:
-    """Return the first service of the group of each service of a query.
-
-    It names the group for the choice of its owners. The groups of a data
-    centre that has a searcher of each shard are the same.
-
-    :returns: nothing if the query is not divided
-    """
-    count = math.ceil(len(services) / MAX_SHARDS_PER_NODE)
-    if count <= 1:
-        return {}
-    return {
-        service: services[position % count]
-        for position, service in enumerate(services)
-    }
+    return divide(local_dc, shards)[1:]
 
 
 def divide(data_centre: str, shards: Sequence[int]) -> tuple[ShardGroup, ...]:
@@ -132,16 +103,14 @@
 
 
 def _balance(
-    reachable: Mapping[int, Collection[str]], rotation: int
+    reachable: Mapping[int, Collection[str]],
 ) -> dict[int, Collection[str]]:
     """Return one data centre for each shard, so that all get equally many."""
     counts: Counter[str] = Counter()
     balanced: dict[int, Collection[str]] = {}
     for shard, data_centres in reachable.items():
         if data_centres:
-            names = sorted(data_centres)
-            start = rotation % len(names)
-            least = min(names[start:] + names[:start], key=counts.__getitem__)
+            least = min(sorted(data_centres), key=counts.__getitem__)
             counts[least] += 1
             balanced[shard] = {least}
     return balanced
--- a/packages/kumquatchuted/src/kumquatchuted/partials/nodes.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/nodes.py
@@ -3,9 +3,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
-import math
-
-import xxhash
 
 from kumquatchuted.membership.messages import Node
 
@@ -14,11 +11,6 @@
 # about a second.
 FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 8.0
-# Part of the nodes of a data centre that own a group of shards, and how many
-# at least. A node that gets many queries over the same shards reuses its
-# connections and learns sooner which searchers are slow.
-OWNER_SHARE = 0.3
-MIN_OWNERS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,49 +40,20 @@
 def choose_node(
     nodes: Iterable[tuple[Node, NodeState]],
     data_centre: str,
-    affinity: str,
     now: float,
     random_fraction: Callable[[], float],
 ) -> Node | None:
     """Return the usable node with the fewest pending queries, or None.
 
-    Only the owners of the shards are candidates, as long as one is usable.
-
     :param nodes: the other nodes
     :param data_centre: data centre in which the node must be
-    :param affinity: service of the first of the shards
     :param now: monotonic time in seconds
     :param random_fraction: returns a random number from 0 to 1 that decides
         between equal nodes
     """
-    local = {
-        node.name: (node, state)
+    candidates = [
+        (state.pending, random_fraction(), node.name, node)
         for node, state in nodes
-        if node.data_centre == data_centre
-    }
-    owners = select_owners(affinity, local)
-    for names in (owners, local.keys() - owners):
-        candidates = [
-            (local[name][1].pending, random_fraction(), name)
-            for name in names
-            if local[name][1].avoided_until <= now
-        ]
-        if candidates:
-            return local[min(candidates)[-1]][0]
-    return None
-
-
-def select_owners(affinity: str, names: Iterable[str]) -> frozenset[str]:
-    """Return the nodes that own a group of shards.
-
-    Rendezvous hashing gives all nodes the same result without coordination.
-
-    :param affinity: service of the first of the shards
-    :param names: names of the nodes of a data centre
-    """
-    ranked = sorted(
-        names,
-        key=lambda name: xxhash.xxh64_intdigest(f"{affinity}/{name}".encode()),
-    )
-    count = max(MIN_OWNERS, math.ceil(len(ranked) * OWNER_SHARE))
-    return frozenset(ranked[:count])
+        if node.data_centre == data_centre and state.avoided_until <= now
+    ]
+    return min(candidates)[-1] if candidates else None
--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -99,7 +99,6 @@
                 for node in self._nodes.values()
             ),
             query.data_centre,
-            query.services[0],
             self._clock(),
             self._rng.random,
         )
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
@@ -19,12 +19,9 @@
 from kumquatchuted.notices.messages import process_of
 from kumquatchuted.notices.messages import ProcessId
 from kumquatchuted.notices.searcher_notices import SearcherNotices
-from kumquatchuted.partials.grouping import find_affinities
 from kumquatchuted.partials.grouping import group_remote_shards
 from kumquatchuted.partials.grouping import ShardGroup
 from kumquatchuted.partials.grouping import split_local_shards
-from kumquatchuted.partials.nodes import select_owners
-from kumquatchuted.routing.messages import AllShards
 from kumquatchuted.routing.messages import Manifest
 from kumquatchuted.routing.messages import Route
 from kumquatchuted.routing.messages import ServiceSpec
@@ -68,7 +65,6 @@
         self._dcs_with_other_nodes: frozenset[str] = frozenset()
         # Derived from the usable searchers and the nodes when it is needed.
         self._retry_shares: dict[str, float] = {}
-        self._affinities: dict[str, str] = {}
         self._evacuated: frozenset[str] = frozenset()
         self.loads = LoadTable()
         self._cold_limits = ColdLimits()
@@ -83,17 +79,7 @@
                 searcher.data_centre
                 for searcher in self._usable_by_service.get(service, ())
             }
-            affinity = self._affinities.get(service)
-            senders = (
-                {
-                    name
-                    for name, node_dc in self._node_dcs.items()
-                    if node_dc in target_dcs
-                }
-                if affinity is None
-                else self._owners(affinity, target_dcs)
-            )
-            share = sender_share(self._cfg.node, self._node_dcs, senders)
+            share = sender_share(self._cfg.node, self._node_dcs, target_dcs)
             self._retry_shares[service] = share
         return share
 
@@ -169,35 +155,10 @@
         ]
         dcs = self._dcs_with_other_nodes
         return (
-            *group_remote_shards(
-                reachable, local_dc, dcs, self._rng.randrange(len(services))
-            ),
-            *split_local_shards(
-                local,
-                local_dc,
-                dcs,
-                lambda group: (
-                    self._cfg.node
-                    in self._owners(services[group.shards[0]], {local_dc})
-                ),
-            ),
+            *group_remote_shards(reachable, local_dc, dcs),
+            *split_local_shards(local, local_dc, dcs),
         )
 
-    def _owners(self, affinity: str, data_centres: set[str]) -> set[str]:
-        """Return the owners of a group of shards in some data centres."""
-        return {
-            owner
-            for data_centre in data_centres
-            for owner in select_owners(
-                affinity,
-                (
-                    name
-                    for name, node_dc in self._node_dcs.items()
-                    if node_dc == data_centre
-                ),
-            )
-        }
-
     def searcher(self, name: str) -> RegisteredSearcher | None:
         """Return a listed searcher, or None."""
         return self._searchers.get(name)
@@ -356,14 +317,8 @@
         self._cfg = cfg
 
     def set_manifest(self, manifest: Manifest) -> None:
-        """Replace the limits of the services and the groups of shards."""
+        """Replace the limits of the services."""
         self._specs = dict(manifest.services)
-        self._retry_shares.clear()
-        self._affinities = {}
-        for route in manifest.routes:
-            match route.destination:
-                case AllShards(shards=shards):
-                    self._affinities.update(find_affinities(shards))
 
     def set_members(self, message: MembersChanged, now: float) -> set[str]:
         """Replace the known nodes and searchers.
