--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -110,14 +110,16 @@
             query.reply_to(PartialQueryDone(query.key, query, (), no_response))
             return
         query.reply_to(PartialQueryAssigned(query.key, query))
-        # Counted at once, so that the groups of one query go to several nodes.
-        self._add_pending(node, 1)
-        task = asyncio.ensure_future(self._run_query(node, query))
-        task.add_done_callback(lambda _: self._add_pending(node, -1))
-        self._query_tasks[query.key] = task
+        self._query_tasks[query.key] = asyncio.ensure_future(
+            self._run_query(node, query)
+        )
 
     async def _run_query(self, node: Node, query: SendPartialQuery) -> None:
-        result = await self._request_partial(node, query)
+        self._add_pending(node, 1)
+        try:
+            result = await self._request_partial(node, query)
+        finally:
+            self._add_pending(node, -1)
         self._query_tasks.pop(query.key, None)
         state = self._states.get(node.name, NodeState())
         match result:
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
@@ -21,7 +21,6 @@
 from kumquatchuted.notices.searcher_notices import SearcherNotices
 from kumquatchuted.partials.grouping import group_remote_shards
 from kumquatchuted.partials.grouping import ShardGroup
-from kumquatchuted.partials.grouping import split_local_shards
 from kumquatchuted.routing.messages import Manifest
 from kumquatchuted.routing.messages import Route
 from kumquatchuted.routing.messages import ServiceSpec
@@ -129,7 +128,7 @@
         chosen: list[RegisteredSearcher | None],
         now: float,
     ) -> tuple[ShardGroup, ...]:
-        """Return the shards to delegate to other nodes.
+        """Return the shards to delegate to nodes of other data centres.
 
         :param services: service of each shard
         :param chosen: the searcher that this node would choose for each shard;
@@ -148,15 +147,8 @@
             for shard, searcher in enumerate(chosen)
             if searcher is not None and searcher.data_centre != local_dc
         }
-        local = [
-            shard
-            for shard, searcher in enumerate(chosen)
-            if searcher is not None and searcher.data_centre == local_dc
-        ]
-        dcs = self._dcs_with_other_nodes
-        return (
-            *group_remote_shards(reachable, local_dc, dcs),
-            *split_local_shards(local, local_dc, dcs),
+        return group_remote_shards(
+            reachable, local_dc, self._dcs_with_other_nodes
         )
 
     def searcher(self, name: str) -> RegisteredSearcher | None:
