--- a/packages/kumquatchuted/src/kumquatchuted/searchers/pending.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/pending.py
@@ -31,13 +31,6 @@
     key: object
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptsDue:
-    """Attempts of a query are to be started in this turn of the event loop."""
-
-    attempts: tuple[SendAttempt, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class ReconnectDue:
     """An attempt without a connection is to get one."""
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -5,7 +5,6 @@
 of the attempt.
 """
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
 import random
@@ -34,7 +33,6 @@
 from kumquatchuted.searchers.messages import RequestReceived
 from kumquatchuted.searchers.messages import SendAttempt
 from kumquatchuted.searchers.messages import SendShards
-from kumquatchuted.searchers.pending import AttemptsDue
 from kumquatchuted.searchers.pending import LingerExpired
 from kumquatchuted.searchers.pending import ReconnectDue
 from kumquatchuted.searchers.pool import ConnectionPool
@@ -44,9 +42,6 @@
 
 log = Logger("searchers")
 
-# Attempts of a query that are started in one turn of the event loop, if a part
-# of the query is delegated. Each takes a few tenths of a millisecond.
-ATTEMPTS_PER_TURN = 8
 HEAD_CODEC = HeadCodec(codec.REQUEST_ID_HEADER, codec.decode_notices)
 
 
@@ -124,10 +119,6 @@
                 self._attempts.close(key)
             case WaitExpired(key=key):
                 self._attempts.on_wait_expired(key)
-            case AttemptsDue(attempts=attempts):
-                self._start_all(attempts[:ATTEMPTS_PER_TURN])
-                if len(attempts) > ATTEMPTS_PER_TURN:
-                    self._start_next_turn(attempts[ATTEMPTS_PER_TURN:])
             case ReconnectDue(key=key):
                 self._attempts.on_reconnect_due(key)
             case ProcessesLeaving(processes=processes):
@@ -187,30 +178,10 @@
             len(delegated),
             attempts[0].outgoing.request_id.decode("latin-1"),
         )
-        own = tuple(
-            attempt
-            for shard, attempt in enumerate(attempts)
-            if shard not in delegated
-        )
-        if delegated:
-            self._start_next_turn(own)
-        else:
-            self._start_all(own)
-
-    def _start_all(self, attempts: tuple[SendAttempt, ...]) -> None:
-        for attempt in attempts:
-            self._budgets.record_request(attempt.service)
-            self._attempts.start(attempt)
-
-    def _start_next_turn(self, attempts: tuple[SendAttempt, ...]) -> None:
-        """Start attempts after the tasks that are ready have run.
-
-        The partial queries of the same query have the longer way, so they must
-        not wait until all attempts of this node are sent.
-        """
-        asyncio.get_running_loop().call_soon(
-            self.mailbox.post, AttemptsDue(attempts)
-        )
+        for shard, attempt in enumerate(attempts):
+            if shard not in delegated:
+                self._budgets.record_request(attempt.service)
+                self._attempts.start(attempt)
 
 
 def _budget_limits(cfg: GatewaySettings) -> BudgetLimits:
