Do less for each change of the list of searchers

For each change of members a node looked up the process of each searcher, recomputed the retry share of each service, and encoded what it read from a relay.

Change: nothing is looked up while no process leaves and no pause is requested, shares are kept by data centres, and objects of a relay are encoded only when they are served.

--- a/packages/kumquatchuted/src/kumquatchuted/notices/searcher_notices.py
+++ b/packages/kumquatchuted/src/kumquatchuted/notices/searcher_notices.py
@@ -83,6 +83,9 @@
 
         :param now: monotonic time in seconds
         """
+        if not self._leaving.listed_at and not self._pauses:
+            # Most listings of large sites come when nothing is to be kept.
+            return
         listed = {process_of(searcher) for searcher in searchers}
         self._leaving = set_listed(self._leaving, listed, now)
         for process in self._pauses.keys() - listed:
@@ -96,7 +99,10 @@
 
     def is_leaving(self, searcher: RegisteredSearcher) -> bool:
         """Return whether the process of a searcher leaves."""
-        return process_of(searcher) in self._leaving
+        return (
+            bool(self._leaving.listed_at)
+            and process_of(searcher) in self._leaving
+        )
 
     def may_send(
         self, searcher: RegisteredSearcher, pending: int, now: float
--- a/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
@@ -97,9 +97,11 @@
                 break
             query = query | {"after": page.items[-1].name}
         contents = {name: item.content for name, item in items.items()}
-        encoded = {name: _encode(item) for name, item in items.items()}
+        relayed = {
+            name: _relayed(item, source) for name, item in items.items()
+        }
         self._relay.record_listing(
-            decoder.kind, encoded, revision or 0, source.is_store
+            decoder.kind, relayed, revision or 0, source.is_store
         )
         return Listing(
             tuple(
@@ -137,12 +139,14 @@
             event.item.name: None if event.removed else event.item.content
             for event in batch.events
         }
-        encoded = {
-            event.item.name: None if event.removed else _encode(event.item)
+        relayed = {
+            event.item.name: (
+                None if event.removed else _relayed(event.item, source)
+            )
             for event in batch.events
         }
         self._relay.record_changes(
-            decoder.kind, encoded, batch.revision, source.is_store
+            decoder.kind, relayed, batch.revision, source.is_store
         )
         return Changes(
             tuple(
@@ -177,6 +181,16 @@
                 return interpret_failed_read(failed_call)
 
 
+def _relayed(item: Item, source: Source) -> object:
+    """Return the object as the relay keeps it.
+
+    Most nodes read from a relay and serve their objects only to nodes that
+    start in an outage, so that they are not encoded in advance. The relay has
+    already replaced those that cannot be encoded.
+    """
+    return _encode(item) if source.is_store else item.content
+
+
 def _encode(item: Item) -> msgspec.Raw:
     """Return the object as the relay serves it.
 
--- a/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
@@ -10,8 +10,6 @@
 from dataclasses import dataclass
 import math
 
-import msgspec
-
 # Changes kept for each kind; a node that is further behind reads the whole
 # listing.
 MAX_CHANGES = 2_000
@@ -44,7 +42,7 @@
     """
 
     def __init__(
-        self, items: dict[str, msgspec.Raw], revision: int, now: float
+        self, items: dict[str, object], revision: int, now: float
     ) -> None:
         self.confirmed_at = now
         self.items = items
@@ -89,7 +87,7 @@
     def record_listing(
         self,
         kind: str,
-        items: dict[str, msgspec.Raw],
+        items: dict[str, object],
         revision: int,
         is_from_store: bool = True,
     ) -> None:
@@ -118,7 +116,7 @@
     def record_changes(
         self,
         kind: str,
-        changes: dict[str, msgspec.Raw | None],
+        changes: dict[str, object],
         revision: int,
         is_from_store: bool = True,
     ) -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
@@ -62,8 +62,8 @@
         self._nodes: frozenset[str] = frozenset((cfg.node,))
         self._node_dcs = {cfg.node: cfg.data_centre}
         self._dcs_with_other_nodes: frozenset[str] = frozenset()
-        # Derived from the usable searchers and the nodes when it is needed.
-        self._retry_shares: dict[str, float] = {}
+        # By the data centres of the searchers; derived from the list of nodes.
+        self._retry_shares: dict[frozenset[str], float] = {}
         self._evacuated: frozenset[str] = frozenset()
         self.loads = LoadTable()
         self._cold_limits = ColdLimits()
@@ -72,14 +72,14 @@
 
     def retry_share(self, service: str) -> float:
         """Return this node's share of the retries for a service."""
-        share = self._retry_shares.get(service)
+        target_dcs = frozenset(
+            searcher.data_centre
+            for searcher in self._usable_by_service.get(service, ())
+        )
+        share = self._retry_shares.get(target_dcs)
         if share is None:
-            target_dcs = {
-                searcher.data_centre
-                for searcher in self._usable_by_service.get(service, ())
-            }
             share = sender_share(self._cfg.node, self._node_dcs, target_dcs)
-            self._retry_shares[service] = share
+            self._retry_shares[target_dcs] = share
         return share
 
     # Choice of searchers
@@ -329,13 +329,15 @@
         self._node_dcs = locate_nodes(
             message.nodes, self._cfg.node, self._cfg.data_centre
         )
+        self._retry_shares.clear()
         self._stated_limits.set_members(self._searchers, self._node_dcs, now)
         gone = find_ended(former, self._searchers)
         for name in gone:
             self._discard_state(name)
         for name, searcher in self._searchers.items():
-            seen_at = message.seen_at.get(name, now)
-            self._cold_limits.set_warmup(searcher, seen_at)
+            if searcher.cold_left_s > 0:
+                seen_at = message.seen_at.get(name, now)
+                self._cold_limits.set_warmup(searcher, seen_at)
         self._searcher_counts = Counter(
             searcher.service for searcher in self._searchers.values()
         )
@@ -345,7 +347,6 @@
         return gone
 
     def _update_usable(self) -> None:
-        self._retry_shares.clear()
         self._usable_by_service = group_usable(
             (
                 searcher
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/cold_limits.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/cold_limits.py
@@ -70,15 +70,13 @@
     def set_warmup(
         self, searcher: RegisteredSearcher, reported_at: float
     ) -> None:
-        """Apply the warm-up time that a searcher reports, if any.
+        """Apply the warm-up time that a searcher reports.
 
         :param reported_at: monotonic time of the report, in seconds
         """
-        if searcher.cold_left_s > 0:
-            self._extend(
-                searcher.name,
-                reported_at + searcher.cold_left_s + COLD_MARGIN_S,
-            )
+        self._extend(
+            searcher.name, reported_at + searcher.cold_left_s + COLD_MARGIN_S
+        )
 
     def assume_restart(
         self,
