Fail late delegated queries sooner, and start with a few retries

- 18 queries ended with 504, none before: a delegate could use all the time of the caller.
It now has three tenths of the time after the objective, so that the caller can ask another node.
- Each delegated group looked through all searchers for those that leave: 0.34 ms for 50 services of 434 searchers, and a change of members took 1.54 ms as soon as one searcher left.
It starts with a tenth of its share; capacity and refill of the buckets take 0.75 of the slack, so that two starts of the whole fleet fit into a window.

--- a/packages/kumquatchuted/src/kumquatchuted/notices/searcher_notices.py
+++ b/packages/kumquatchuted/src/kumquatchuted/notices/searcher_notices.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from logbook import Logger
 
@@ -77,17 +78,20 @@
         return bool(news)
 
     def set_listed(
-        self, searchers: Iterable[RegisteredSearcher], now: float
+        self, searchers: Mapping[str, RegisteredSearcher], now: float
     ) -> None:
         """Forget what processes stated that are gone.
 
+        :param searchers: listed searchers by name
         :param now: monotonic time in seconds
         """
-        if not self._leaving.listed_at and not self._pauses:
-            # Most listings of large sites come when nothing is to be kept.
-            return
-        listed = {process_of(searcher) for searcher in searchers}
-        self._leaving = set_listed(self._leaving, listed, now)
+        listed = {
+            process
+            for process in (*self._leaving.listed_at, *self._pauses)
+            if _is_listed(process, searchers)
+        }
+        if self._leaving.listed_at:
+            self._leaving = set_listed(self._leaving, listed, now)
         for process in self._pauses.keys() - listed:
             if not remaining_s(self._pauses[process], now):
                 del self._pauses[process]
@@ -104,6 +108,19 @@
             and process_of(searcher) in self._leaving
         )
 
+    def find_leaving(
+        self, searchers: Mapping[str, RegisteredSearcher]
+    ) -> tuple[ProcessId, ...]:
+        """Return the listed processes that leave, which are few.
+
+        :param searchers: listed searchers by name
+        """
+        return tuple(
+            process
+            for process in self._leaving.listed_at
+            if _is_listed(process, searchers)
+        )
+
     def may_send(
         self, searcher: RegisteredSearcher, pending: int, now: float
     ) -> bool:
@@ -146,3 +163,10 @@
             delay_s,
             remaining_s(pause, now),
         )
+
+
+def _is_listed(
+    process: ProcessId, searchers: Mapping[str, RegisteredSearcher]
+) -> bool:
+    searcher = searchers.get(process.name)
+    return searcher is not None and process_of(searcher) == process
--- a/packages/kumquatchuted/src/kumquatchuted/retries/budget.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/budget.py
@@ -3,19 +3,21 @@
 The limit of a service holds for all nodes together: in each window they may
 send as many retries as a ratio of its requests plus a fixed slack. A node adds
 tokens to its bucket with each request, according to the ratio, and over time,
-according to its share of the slack. A node starts with an empty bucket, so
-that the restart of nodes adds no tokens.
+according to its share of the slack. A node starts with few tokens, so
+that the restart of nodes hardly adds to them.
 """
 
 from dataclasses import dataclass
 from dataclasses import replace
 
 # Shares of the limits that the nodes use: of the ratio, of the slack as the
-# capacity of their buckets, and of the slack as their refill per window. The
-# rest covers nodes with an old list of the others.
+# capacity of their buckets, as their refill per window, and as the tokens of a
+# node that starts. The rest covers a second start of
+# all nodes within the window, and nodes with an old list of the others.
 RATIO_SHARE = 0.6
-BURST_SHARE = 0.4
-REFILL_SHARE = 0.45
+BURST_SHARE = 0.35
+REFILL_SHARE = 0.4
+INITIAL_SHARE = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,12 +46,13 @@
     refilled_at: float
 
 
-def initial_budget(now: float) -> Budget:
+def initial_budget(limits: BudgetLimits, share: float, now: float) -> Budget:
     """Return the budget of a node at its start.
 
+    :param share: this node's share of the slack, from 0 to 1
     :param now: monotonic time in seconds
     """
-    return Budget(0.0, now)
+    return Budget(limits.slack * INITIAL_SHARE * share, now)
 
 
 def refill(
--- a/packages/kumquatchuted/src/kumquatchuted/retries/service_budgets.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/service_budgets.py
@@ -49,7 +49,9 @@
     def _budget(self, service: str) -> retry_budget.Budget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = retry_budget.initial_budget(self._started_at)
+            budget = retry_budget.initial_budget(
+                self._limits, self._share_of(service), self._started_at
+            )
         return retry_budget.refill(
             budget, self._limits, self._share_of(service), self._clock()
         )
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
@@ -259,10 +259,9 @@
     ) -> tuple[ProcessId, ...]:
         """Return the listed processes of some services that leave."""
         return tuple(
-            process_of(searcher)
-            for searcher in self._searchers.values()
-            if searcher.service in services
-            and self._notices.is_leaving(searcher)
+            process
+            for process in self._notices.find_leaving(self._searchers)
+            if self._searchers[process.name].service in services
         )
 
     def is_leaving(self, name: str) -> bool:
@@ -342,16 +341,20 @@
             searcher.service for searcher in self._searchers.values()
         )
         self._evacuated = message.evacuated
-        self._notices.set_listed(self._searchers.values(), now)
+        self._notices.set_listed(self._searchers, now)
         self._update_usable()
         return gone
 
     def _update_usable(self) -> None:
+        leaving = {
+            process.name
+            for process in self._notices.find_leaving(self._searchers)
+        }
         self._usable_by_service = group_usable(
             (
                 searcher
-                for searcher in self._searchers.values()
-                if not self._notices.is_leaving(searcher)
+                for name, searcher in self._searchers.items()
+                if name not in leaving
             ),
             self._evacuated,
         )
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/shards.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/shards.py
@@ -7,6 +7,11 @@
 from kumquatchuted.searchers.messages import SendShards
 from kumquatchuted.searchers.messages import ShardsNotSent
 
+# Part of the caller's time after the objective that a delegate may use to get
+# the shards that the query needs. After that the query fails, while the caller
+# has time to send it to another node.
+LATE_SHARE = 0.3
+
 
 def refuse_uncovered(
     message: SendShards,
@@ -58,7 +63,8 @@
         outgoing=first.outgoing,
         min_coverage=min_shards / len(attempts),
         deadline=message.partial_deadline,
-        latest_deadline=first.deadline,
+        latest_deadline=message.partial_deadline
+        + LATE_SHARE * max(0.0, first.deadline - message.partial_deadline),
         leaving=balancer.leaving_processes(services),
         reply_to=message.reply_to,
     )
