--- a/packages/kumquatchuted/src/kumquatchuted/retries/budget.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/budget.py
@@ -3,8 +3,8 @@
 The limit of a service holds for all nodes together: in each window they may
 send as many retries as a ratio of its requests plus a fixed slack. A node adds
 tokens to its bucket with each request, according to the ratio, and over time,
-according to its share of the slack. A node starts with few tokens, so
-that the restart of nodes hardly adds to them.
+according to its share of the slack. A node starts with few tokens, so that restarts of nodes
+hardly add to them.
 """
 
 from dataclasses import dataclass
@@ -12,8 +12,8 @@
 
 # Shares of the limits that the nodes use: of the ratio, of the slack as the
 # capacity of their buckets, as their refill per window, and as the tokens of a
-# node that starts. The rest covers a second start of
-# all nodes within the window, and nodes with an old list of the others.
+# node that starts. The rest covers a second start of all nodes within the
+# window, and nodes with an old list of the others.
 RATIO_SHARE = 0.6
 BURST_SHARE = 0.35
 REFILL_SHARE = 0.4
