--- a/packages/kumquatchuted/src/kumquatchuted/notices/searcher_notices.py
+++ b/packages/kumquatchuted/src/kumquatchuted/notices/searcher_notices.py
@@ -96,9 +96,16 @@
             if not remaining_s(self._pauses[process], now):
                 del self._pauses[process]
 
-    def on_request_run(self, process: ProcessId) -> None:
-        """End the pause of a process that runs requests again."""
-        if self._pauses and self._pauses.pop(process, None) is not None:
+    def on_request_run(self, process: ProcessId, now: float) -> None:
+        """End the pause of a process that runs requests again.
+
+        During the stated time, responses to earlier requests still arrive.
+
+        :param now: monotonic time in seconds
+        """
+        pause = self._pauses.get(process)
+        if pause is not None and now >= pause.resumes_at:
+            del self._pauses[process]
             log.info("searcher pause ended searcher={}", process.name)
 
     def is_leaving(self, searcher: RegisteredSearcher) -> bool:
--- a/packages/kumquatchuted/src/kumquatchuted/retries/budget.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/budget.py
@@ -3,8 +3,8 @@
 The limit of a service holds for all nodes together: in each window they may
 send as many retries as a ratio of its requests plus a fixed slack. A node adds
 tokens to its bucket with each request, according to the ratio, and over time,
-according to its share of the slack. A node starts with few tokens, so that restarts of nodes
-hardly add to them.
+according to its share of the slack. A node starts with few tokens, so that
+restarts of nodes hardly add to them.
 """
 
 from dataclasses import dataclass
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/balancer.py
@@ -186,7 +186,7 @@
         """
         searcher = self._searchers.get(name)
         if searcher is not None:
-            self._notices.on_request_run(process_of(searcher))
+            self._notices.on_request_run(process_of(searcher), now)
         self.loads.succeed(name, route, started_at, now)
 
     def on_connect_failed(
