Merge only successes with a digest into the answer to a query

Cause: whether a response settles the attempts was decided as for a request to one searcher, whose redirections and client errors are relayed. Queries took each settled response as a part.

For a query, RetryPolicy.parts_only now lets only a part settle the attempts on a shard; other responses are retried within the limits of the route and the retry budget. Partial queries of other nodes use the same task.

--- a/packages/kumquatchuted/src/kumquatchuted/gather/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -107,7 +107,9 @@
         self._state = initial_state(
             QueryPlan(
                 len(destination.shards),
-                RetryPolicy(route.max_attempts, at_most_once=False),
+                RetryPolicy(
+                    route.max_attempts, at_most_once=False, parts_only=True
+                ),
                 soft_deadline,
                 deadline,
                 destination.min_coverage,
--- a/packages/kumquatchuted/src/kumquatchuted/retries/progress.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/progress.py
@@ -22,10 +22,13 @@
     :param max_attempts: maximum number of searchers that may receive it
     :param at_most_once: whether it may run only once, so that it is neither
         hedged nor retried after an attempt that may have run
+    :param parts_only: whether only a part settles the attempts, because the
+        response is merged into the answer to a query
     """
 
     max_attempts: int
     at_most_once: bool
+    parts_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +145,7 @@
         return progress, None
     progress = replace(progress, pending=progress.pending - 1)
     match result:
-        case SearcherResponse() if _is_final(result):
+        case SearcherResponse() if _is_final(result, policy):
             return replace(progress, response=result, hedge_at=None), None
         case SearcherResponse(not_executed=True):
             progress = replace(progress, failure=result)
@@ -199,13 +202,16 @@
     )
 
 
-def _is_final(response: SearcherResponse) -> bool:
+def _is_final(response: SearcherResponse, policy: RetryPolicy) -> bool:
     """Return whether the response settles the attempts.
 
     A success without a digest does not settle them, because callers could not
     verify it. Neither do server errors and responses of searchers that did not
-    run the request.
+    run the request. Redirections and client errors are relayed to the caller
+    of a single searcher, but cannot be merged.
     """
+    if policy.parts_only:
+        return response.is_part()
     if response.not_executed or response.status >= 500:
         return False
     return bool(response.stamp) or response.status >= 300
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
@@ -126,6 +126,14 @@
     wrong_process: bool
     headers: tuple[tuple[bytes, bytes], ...]
 
+    def is_part(self) -> bool:
+        """Return whether it may be merged into the answer to a query.
+
+        A failure is not a part, even if it has a digest.
+        """
+        is_success = 200 <= self.status < 300 and not self.not_executed
+        return is_success and bool(self.stamp)
+
 
 @dataclass(frozen=True, slots=True)
 class NoResponse:
