Count failed shards against their searchers

A searcher that failed quickly with 404 during queries counted as the fastest of its shard and was chosen for most of them, which used up the retry budget.

Cause: the load balancer, like the retries, took every response below 500 as a success. For a query only a part counts now; another response counts against the searcher and is logged as 'attempt failed'.

--- a/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_shard_failures.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_shard_failures.py
@@ -103,3 +103,22 @@
             assert finish.missing == 0, status
             stamps = [response.stamp for response in finish.responses]
             assert (b"failed" in stamps) == is_part, status
+
+
+def test_failing_searcher_does_not_attract_queries() -> None:
+    """Guards against a searcher that is preferred because it fails quickly.
+
+    Its failures counted as fast responses, so most queries were sent to it
+    first and used up the retry budget.
+    """
+
+    def respond(req: ReceivedRequest) -> Reply:
+        stamp = b"%d.%s" % (req.port, req.request_id)
+        if req.port == FIRST_SHARD_PORTS[0]:
+            return Reply(0.001, encode_response(404, req, stamp, FAILURE))
+        return Reply(RESPONSE_S, encode_response(200, req, stamp, RECORDS))
+
+    finishes, loop = run_queries(respond, 40)
+    assert all(finish.missing == 0 for finish in finishes)
+    failed = [req for req in loop.received if req.port == FIRST_SHARD_PORTS[0]]
+    assert len(failed) <= 10
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
@@ -312,7 +312,7 @@
         self, attempt: PendingAttempt, response: SearcherResponse, now: float
     ) -> None:
         name, started_at = attempt.searcher, attempt.started_at
-        if response.status < 500 and not response.not_executed:
+        if _is_usable(attempt.message, response):
             route = attempt.message.route
             self._balancer.on_attempt_succeeded(name, route, started_at, now)
             return
@@ -387,3 +387,15 @@
     def _post_later(self, delay_s: float, message: object) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(max(0.0, delay_s), self._post, message)
+
+
+def _is_usable(message: SendAttempt, response: SearcherResponse) -> bool:
+    """Return whether the response counts as a success of the searcher.
+
+    A client error answers the request to a single searcher. A searcher that
+    sends one instead of a part would otherwise look like the fastest of its
+    shard and get most of the queries.
+    """
+    if message.is_shard_query:
+        return response.is_part()
+    return response.status < 500 and not response.not_executed
