Withdraw attempts before a request is refused as not run

Cause: the task of a request and the task of searchers decided separately whether an attempt is sent. At the time limit the news of a send could still be in the mailbox, or the send still to come on a connection that had just become free. After a suspension both are due in the same turn of the event loop.

The task of searchers now owns the answer. At its time limit the task of a request sends WithdrawAttempt for each attempt; the reply is AttemptDone if it was not sent and never will be, else AttemptKept. Without a reply the request counts as sent. Nothing is sent after the deadline of an attempt, and an abandoned attempt that was not sent ends at once.

--- a/packages/kumquatchuted/src/kumquatchuted/forward/decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/decide.py
@@ -46,11 +46,12 @@
 def conclude_timeout(progress: AttemptProgress) -> ForwardResult:
     """Return the result when the deadline has passed.
 
-    The failure states that the request was not run only if no attempt may have
-    reached a searcher.
+    The failure states that the request was not run only if no searcher may
+    have run it and no attempt is pending. An attempt that is not known to have
+    been sent must be withdrawn before, because it may still be sent.
     """
     reason = f"no answer in time after {progress.sent} attempts"
-    if not progress.may_have_run and not progress.sent:
+    if not progress.may_have_run and not progress.pending:
         return ForwardResult(
             None, Failure(ErrorKind.UNAVAILABLE, reason, not_run=True)
         )
--- a/packages/kumquatchuted/src/kumquatchuted/forward/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 from dataclasses import dataclass
 import itertools
 
@@ -16,12 +17,17 @@
 from kumquatchuted.searchers.messages import AbandonAttempt
 from kumquatchuted.searchers.messages import AttemptAssigned
 from kumquatchuted.searchers.messages import AttemptDone
+from kumquatchuted.searchers.messages import AttemptKept
 from kumquatchuted.searchers.messages import OutgoingRequest
 from kumquatchuted.searchers.messages import SendAttempt
+from kumquatchuted.searchers.messages import WithdrawAttempt
 
 # A searcher stops by itself at the deadline that it was sent. The connection
 # is closed this long after it, so that the request is not interrupted earlier.
 CLOSE_MARGIN_S = 0.3
+# The task of searchers replies to a withdrawal in its next turn. Without a
+# reply in this time the request counts as sent.
+WITHDRAWAL_TIMEOUT_S = 0.25
 
 
 # Numbers make the keys of attempts unique across all tasks: the task of
@@ -98,24 +104,53 @@
             message = await self._next_message()
             now = self._clock()
             match message:
-                case AttemptAssigned(
-                    searcher=searcher, hedge_delay_s=hedge_delay_s
-                ):
-                    self._progress = retry_progress.assign_searcher(
-                        self._progress, searcher, now + hedge_delay_s
-                    )
+                case AttemptAssigned():
+                    self._assign(message, now)
                 case AttemptDone(key=key, result=result):
                     self._pending.discard(key)
                     self._apply_result(result)
                 case DeadlineMoved(deadline=deadline):
                     self._deadline = min(self._deadline, deadline)
             if now >= self._deadline and not self._progress.is_settled():
-                return conclude_timeout(self._progress)
+                return await self._end_at_deadline()
             if retry_progress.is_hedge_due(self._progress, self._policy, now):
                 self._send_attempt(is_retry=True)
             if self._progress.is_settled():
                 return conclude(self._progress, self._policy.at_most_once)
 
+    async def _end_at_deadline(self) -> ForwardResult:
+        """Withdraw the attempts and return the result.
+
+        The mailbox can hold the news that an attempt was sent, and the task of
+        searchers can still send one: after the process was suspended, several
+        timers and connections are due at once, in any order.
+        """
+        undecided = set(self._pending)
+        for key in undecided:
+            self._post(WithdrawAttempt(key, self.mailbox.post))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WITHDRAWAL_TIMEOUT_S):
+                while undecided:
+                    match await self.mailbox.get():
+                        case AttemptAssigned() as assigned:
+                            self._assign(assigned, self._clock())
+                        case AttemptKept(key=key):
+                            undecided.discard(key)
+                        case AttemptDone(key=key, result=result):
+                            undecided.discard(key)
+                            self._pending.discard(key)
+                            self._progress, _ = retry_progress.apply_result(
+                                self._progress, result, self._policy
+                            )
+        if self._progress.response is not None:
+            return conclude(self._progress, self._policy.at_most_once)
+        return conclude_timeout(self._progress)
+
+    def _assign(self, message: AttemptAssigned, now: float) -> None:
+        self._progress = retry_progress.assign_searcher(
+            self._progress, message.searcher, now + message.hedge_delay_s
+        )
+
     def _apply_result(self, result: object) -> None:
         self._progress, retry = retry_progress.apply_result(
             self._progress, result, self._policy
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
@@ -18,11 +18,13 @@
 from kumquatchuted.searchers.connection import ResponseReceived
 from kumquatchuted.searchers.messages import AttemptAssigned
 from kumquatchuted.searchers.messages import AttemptDone
+from kumquatchuted.searchers.messages import AttemptKept
 from kumquatchuted.searchers.messages import NoResponse
 from kumquatchuted.searchers.messages import Refusal
 from kumquatchuted.searchers.messages import RefusalCause
 from kumquatchuted.searchers.messages import SearcherResponse
 from kumquatchuted.searchers.messages import SendAttempt
+from kumquatchuted.searchers.messages import WithdrawAttempt
 from kumquatchuted.searchers.pending import LingerExpired
 from kumquatchuted.searchers.pending import PendingAttempt
 from kumquatchuted.searchers.pending import ReconnectDue
@@ -34,6 +36,9 @@
 log = Logger("searchers")
 
 CONNECTION_REFUSED = ConnectionRefusedError.__name__
+# Causes of attempts that end without having been sent.
+NO_TIME_LEFT = "the time limit has passed"
+WITHDRAWN = "withdrawn"
 # Pause before a connection is tried again for which no descriptor was left.
 RECONNECT_S = 0.02
 
@@ -69,8 +74,8 @@
         """Send an attempt to the best searcher with a free connection.
 
         A connection is free if it is idle or may still be opened. The attempt
-        is refused if the retry budget is used up or no searcher is usable. If
-        all connections are in use, it waits for one.
+        is refused if its deadline has passed, the retry budget is used up or
+        no searcher is usable. If all connections are in use, it waits for one.
         """
         refusal = self._send(message)
         match refusal:
@@ -113,14 +118,14 @@
         key, connection.waiting_key = connection.waiting_key, None
         attempt = self._attempts.get(key)
         now = self._clock()
-        if attempt is None:
-            self._pool.add_idle(connection, now)
-            self._serve_waiting_for(connection)
-        elif self._balancer.may_receive(attempt.searcher, now):
-            self._write_request(key)
-        else:
-            self._pool.add_idle(connection, now)
-            self._cancel_unsent(key, "the searcher wants no more requests")
+        if attempt is not None:
+            cause = self._find_obstacle(attempt, now)
+            if cause is None:
+                self._write_request(key)
+                return
+            self._end_unsent(key, cause)
+        self._pool.add_idle(connection, now)
+        self._serve_waiting_for(connection)
 
     def on_response_received(self, event: ResponseReceived) -> None:
         """Report the response to the sender of the attempt."""
@@ -157,7 +162,7 @@
         if searcher is None or now > latest_start(
             attempt.message, attempt.started_at
         ):
-            self._cancel_unsent(key, OUT_OF_DESCRIPTORS)
+            self._end_unsent(key, OUT_OF_DESCRIPTORS)
             return
         connection = self._get_connection(searcher, attempt.message, now)
         if connection is None:
@@ -166,15 +171,39 @@
         self._attempts[key] = replace(attempt, connection=connection)
         self._use_connection(key, connection)
 
+    def withdraw(self, message: WithdrawAttempt) -> None:
+        """End an attempt that was not sent, and report whether it was.
+
+        Only this task knows whether an attempt was sent, so that the sender of
+        the attempt has to ask before it states that the request did not run.
+        """
+        key = message.key
+        waiting = self._waiting.remove(key)
+        if waiting is not None:
+            self._refuse(waiting, Refusal(RefusalCause.EXPIRED))
+            return
+        attempt = self._attempts.get(key)
+        if attempt is None:
+            return
+        if attempt.is_sent:
+            message.reply_to(AttemptKept(key))
+        else:
+            self._end_unsent(key, WITHDRAWN)
+
     def abandon(self, key: object, linger_s: float) -> None:
         """Abandon an attempt whose result is not needed.
 
+        It ends at once if it was not sent.
+
         :param linger_s: time after which its connection is closed, in seconds
         """
         self._waiting.remove(key)
-        if key not in self._attempts:
+        attempt = self._attempts.get(key)
+        if attempt is None:
             return
-        if linger_s <= 0:
+        if not attempt.is_sent:
+            self._end_unsent(key, WITHDRAWN)
+        elif linger_s <= 0:
             self.close(key)
         else:
             self._post_later(linger_s, LingerExpired(key))
@@ -203,6 +232,8 @@
     def _send(self, message: SendAttempt) -> Refusal | None:
         """Send an attempt; return why it was not sent, or None."""
         now = self._clock()
+        if now >= message.deadline:
+            return Refusal(RefusalCause.EXPIRED)
         if message.is_retry and not self._budgets.has_token(message.service):
             return Refusal(RefusalCause.NO_BUDGET)
         excluded = list(message.exclude)
@@ -274,6 +305,16 @@
         else:
             connection.waiting_key = key
 
+    def _find_obstacle(
+        self, attempt: PendingAttempt, now: float
+    ) -> str | None:
+        """Return why an attempt must not be sent any more, or None."""
+        if now >= attempt.message.deadline:
+            return NO_TIME_LEFT
+        if not self._balancer.may_receive(attempt.searcher, now):
+            return "the searcher wants no more requests"
+        return None
+
     def _write_request(self, key: object) -> None:
         attempt = self._attempts[key] = replace(
             self._attempts[key], is_sent=True
@@ -350,9 +391,13 @@
             )
         self._report_loss(key, attempt, reason)
 
-    def _cancel_unsent(self, key: object, reason: str) -> None:
-        """End an attempt that was not sent, without blame on the searcher."""
+    def _end_unsent(self, key: object, reason: str) -> None:
+        """End an attempt that was not sent, without blame on the searcher.
+
+        The connection that is being opened for it stays open for others.
+        """
         attempt = self._attempts.pop(key)
+        attempt.connection.waiting_key = None
         self._balancer.loads.cancel(attempt.searcher, attempt.started_at)
         self._report_loss(key, attempt, reason)
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
@@ -87,12 +87,26 @@
     linger_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class WithdrawAttempt:
+    """Do not send an attempt any more, if it has not been sent.
+
+    The reply is ``AttemptDone`` if it was not sent and never will be, and
+    ``AttemptKept`` if it was sent. There is no further reply if the attempt
+    has ended, because its ``AttemptDone`` was posted before.
+    """
+
+    key: object
+    reply_to: Callable[[object], None]
+
+
 class RefusalCause(Enum):
     """Why an attempt was not sent to any searcher."""
 
     NO_SEARCHER = "no searcher is usable"
     NO_BUDGET = "the allowance for repeated sends is used"
     BUSY = "all usable searchers are at their limit"
+    EXPIRED = "its time limit has passed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +175,13 @@
     hedge_delay_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptKept:
+    """An attempt was sent before it could be withdrawn."""
+
+    key: object
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptDone:
     """The result of an attempt.
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -33,6 +33,7 @@
 from kumquatchuted.searchers.messages import RequestReceived
 from kumquatchuted.searchers.messages import SendAttempt
 from kumquatchuted.searchers.messages import SendShards
+from kumquatchuted.searchers.messages import WithdrawAttempt
 from kumquatchuted.searchers.pending import LingerExpired
 from kumquatchuted.searchers.pending import ReconnectDue
 from kumquatchuted.searchers.pool import ConnectionPool
@@ -113,6 +114,8 @@
             case RequestReceived(services=services):
                 for service in services:
                     self._budgets.record_request(service)
+            case WithdrawAttempt():
+                self._attempts.withdraw(message)
             case AbandonAttempt(key=key, linger_s=linger_s):
                 self._attempts.abandon(key, linger_s)
             case LingerExpired(key=key):
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/virtual_network.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/virtual_network.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from dataclasses import dataclass
+import random
 from typing import Any
 
 from kumquatchuted.membership.messages import MembersChanged
@@ -100,16 +101,48 @@
         self,
         respond: Callable[[ReceivedRequest], Reply | None],
         connect_s: float = 0.0,
+        rng: random.Random | None = None,
     ) -> None:
         """Create the loop.
 
         :param respond: returns the reply to a request, None for silence
         :param connect_s: time until a connection is open, in seconds
+        :param rng: draws the order of the callbacks that are ready at the same
+            time; None keeps the order of asyncio
         """
         super().__init__()
         self.respond = respond
         self.connect_s = connect_s
         self.received: list[ReceivedRequest] = []
+        self._rng = rng
+
+    def call_at(
+        self,
+        when: float,
+        callback: Callable,
+        *args: Any,
+        context: Any = None,
+    ) -> asyncio.TimerHandle:
+        """Schedule a callback.
+
+        It runs among the ready callbacks of the turn after the one in which it
+        is due, so that its order is drawn with theirs.
+        """
+
+        def run() -> None:
+            if not handle.cancelled():
+                callback(*args)
+
+        handle = super().call_at(when, self.call_soon, run, context=context)
+        return handle
+
+    def _run_once(self) -> None:
+        if self._rng is not None:
+            ready = list(self._ready)
+            self._rng.shuffle(ready)
+            self._ready.clear()
+            self._ready.extend(ready)
+        super()._run_once()
 
     async def create_connection(
         self, protocol_factory: Callable, host: str, port: int
