Retry a request whose connection closes as soon as it is open

A caller waited until its time limit and got 504, although its request had never been sent, if a searcher closed a new connection at once.

Cause: ConnectionOpened was handled after the transport had closed. The request was written to the closed transport, and ConnectionClosed, which named no request, did not end the attempt.

The task of searchers ignores ConnectionOpened of a closed connection, so that ConnectionClosed ends the attempt as not sent and it is retried.

--- a/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
@@ -115,6 +115,9 @@
 
     def on_connection_opened(self, connection: Connection) -> None:
         """Send the request that waits for the connection, if any."""
+        if not connection.is_open():
+            # ``ConnectionClosed`` follows and ends the attempt.
+            return
         key, connection.waiting_key = connection.waiting_key, None
         attempt = self._attempts.get(key)
         now = self._clock()
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/virtual_network.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/virtual_network.py
@@ -114,6 +114,8 @@
         self.respond = respond
         self.connect_s = connect_s
         self.received: list[ReceivedRequest] = []
+        # Number of next connections that close as soon as they are open.
+        self.closed_connections = 0
         self._rng = rng
 
     def call_at(
@@ -152,6 +154,9 @@
         protocol = protocol_factory()
         transport = _Transport(self, protocol, port)
         protocol.connection_made(transport)
+        if self.closed_connections:
+            self.closed_connections -= 1
+            transport.close()
         return transport, protocol
 
 
