Leave a suspended node that is read from within a second

Cause: the silence showed only when a watch ended, 2.7 s after its start. A failed watch did not count as a failure of the source, so the same node was listed first, which took 2 s.

The watches of the four topics now end half a second apart, so that a node that is read from has to respond that often, without further calls. If it does not respond to a watch within 0.5 s after it is due, or to a listing within 0.5 s, the membership task has the followers of all topics leave it (SourceSilent). The store is treated as before; no call of the store is added.

--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -142,6 +142,9 @@
     membership.restart_callbacks = tuple(
         follower.restart for follower in followers.values()
     )
+    membership.silence_callbacks = tuple(
+        follower.on_source_silent for follower in followers.values()
+    )
     router = Router(
         front.state,
         searchers.mailbox.post,
@@ -241,6 +244,7 @@
             rng,
             clock,
             WATCH_S,
+            phase_s=WATCH_S * number / len(TOPIC_DECODERS),
         )
-        for topic, decoder in TOPIC_DECODERS.items()
+        for number, (topic, decoder) in enumerate(TOPIC_DECODERS.items())
     }
--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -18,8 +18,10 @@
 from kumquatchuted.membership.object_reader import HistoryGone
 from kumquatchuted.membership.object_reader import Listing
 from kumquatchuted.membership.object_reader import ObjectReader
+from kumquatchuted.membership.object_reader import SourceUnresponsive
 from kumquatchuted.membership.object_reader import TopicDecoder
 from kumquatchuted.membership.sources import Source
+from kumquatchuted.membership.sources import SourceSilent
 
 # Delay before the next watch after changes, so that one call reads several
 # changes that follow each other quickly: each watch call is charged. The delay
@@ -37,6 +39,8 @@
 SOURCE_AVOID_S = 1.5
 # After this time with another source, the preferred one is tried again.
 MAX_FALLBACK_S = 2.0
+# A shorter watch would end at once and be followed by another call.
+MIN_WATCH_S = 0.1
 
 OUTDATED = Failure(
     ErrorKind.UNAVAILABLE, "its state is older than what was read before"
@@ -59,6 +63,7 @@
         clock: Callable[[], float],
         wait_s: float,
         sleep: Callable = asyncio.sleep,
+        phase_s: float = 0.0,
     ) -> None:
         """Create a follower.
 
@@ -70,6 +75,9 @@
             at once
         :param clock: monotonic time in seconds
         :param wait_s: longest duration of a watch, in seconds
+        :param phase_s: a watch of another node ends when the clock is this far
+            into a period of ``wait_s``, in seconds. With a phase for each
+            topic, such a node has to respond several times in a period.
         """
         self._topic = topic
         self._client = client
@@ -79,6 +87,7 @@
         self._rng = rng
         self._clock = clock
         self._wait_s = wait_s
+        self._phase_s = phase_s
         self._sleep = sleep
         self._failure_count = 0
         self._has_state = False
@@ -96,6 +105,14 @@
         """
         self._restart_requested.set()
 
+    def on_source_silent(self, source: Source) -> None:
+        """Leave a source that did not respond to the follower of a topic.
+
+        The watch of this topic could stay silent for much longer.
+        """
+        self._failed_at[source] = self._clock()
+        self._restart_requested.set()
+
     def state_age_s(self) -> float:
         """Return the time since a source last confirmed the state, in seconds.
 
@@ -124,7 +141,7 @@
         for source in self._order_by_recent_failure(sources):
             listing = await self._list(source)
             if isinstance(listing, Failure):
-                self._failed_at[source] = self._clock()
+                self._on_source_failed(source, listing)
                 failure = listing
                 continue
             if self._is_outdated(source, listing):
@@ -139,6 +156,7 @@
                     self._newest_revision,
                 )
                 continue
+            self._failed_at.pop(source, None)
             self._report_success(source)
             log.info(
                 "topic listed topic={} address={} revision={} age_s={:.2f}",
@@ -234,15 +252,21 @@
         self, sources: tuple[Source, ...]
     ) -> list[Source]:
         """Return the sources, those that failed recently last."""
-        now = self._clock()
-        return sorted(
-            sources,
-            key=lambda item: (
-                self._failed_at.get(item, -SOURCE_AVOID_S)
-                > now - SOURCE_AVOID_S
-            ),
+        return sorted(sources, key=self._failed_recently)
+
+    def _failed_recently(self, source: Source) -> bool:
+        failed_at = self._failed_at.get(source)
+        return (
+            failed_at is not None
+            and failed_at > self._clock() - SOURCE_AVOID_S
         )
 
+    def _on_source_failed(self, source: Source, failure: Failure) -> None:
+        self._failed_at[source] = self._clock()
+        match failure:
+            case SourceUnresponsive():
+                self._post(SourceSilent(source))
+
     async def _watch(
         self, source: Source, revision: int, is_fallback: bool
     ) -> None:
@@ -258,6 +282,8 @@
                 return
             if not is_fallback and source != self._sources()[0]:
                 return
+            if self._failed_recently(source):
+                return
             result = await self._wait_for_changes(
                 source, revision, is_fallback
             )
@@ -272,8 +298,11 @@
                 )
                 return
             if isinstance(result, Failure):
-                # The source may still respond to list calls, so it does not
-                # count as failed.
+                if not source.is_store:
+                    # The store may still respond to list calls and does not
+                    # count as failed. A node that is suspended does not, so
+                    # that the call would only take more time.
+                    self._on_source_failed(source, result)
                 log.info(
                     "watch failed topic={} address={} revision={} age_s={:.2f}"
                     " cause={}",
@@ -297,9 +326,13 @@
         self, source: Source, revision: int, is_fallback: bool
     ) -> Changes | HistoryGone | Failure | None:
         """Wait for changes; None if the watch is to be restarted."""
-        wait_s = (
-            min(self._wait_s, MAX_FALLBACK_S) if is_fallback else self._wait_s
-        )
+        wait_s = self._wait_s
+        if not source.is_store:
+            wait_s = (self._phase_s - self._clock()) % self._wait_s
+            if wait_s < MIN_WATCH_S:
+                wait_s += self._wait_s
+        if is_fallback:
+            wait_s = min(wait_s, MAX_FALLBACK_S)
         self._restart_requested.clear()
         watch = asyncio.ensure_future(
             self._client.watch(source, self._decoder, revision, wait_s)
--- a/packages/kumquatchuted/src/kumquatchuted/membership/object_reader.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/object_reader.py
@@ -58,6 +58,11 @@
     """
 
 
+@dataclass(frozen=True)
+class SourceUnresponsive(Failure):
+    """A source did not respond at all, so that no call to it can succeed."""
+
+
 class ObjectReader(Protocol):
     """Calls of followers to the store or to a node that relays its objects."""
 
@@ -68,6 +73,7 @@
 
         :param any_age: whether another node may respond with the state that
             it read before it lost the store
+        :returns: ``SourceUnresponsive`` if another node does not respond
         """
 
     async def watch(
@@ -80,5 +86,6 @@
         """Wait for changes after a revision.
 
         :param wait_s: longest time to wait, in seconds
-        :returns: the changes; empty ones if there was none in this time
+        :returns: the changes; empty ones if there was none in this time;
+            ``SourceUnresponsive`` if another node does not respond
         """
--- a/packages/kumquatchuted/src/kumquatchuted/membership/sources.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/sources.py
@@ -34,6 +34,13 @@
     is_store: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SourceSilent:
+    """A node that relays the objects did not respond to a follower."""
+
+    source: Source
+
+
 def order_sources(
     node: str,
     data_centre: str,
--- a/packages/kumquatchuted/src/kumquatchuted/membership/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/task.py
@@ -20,6 +20,7 @@
 from kumquatchuted.membership import registry as reg
 from kumquatchuted.membership.sources import order_sources
 from kumquatchuted.membership.sources import Source
+from kumquatchuted.membership.sources import SourceSilent
 from kumquatchuted.routing.acceptance import may_take_effect
 from kumquatchuted.routing.acceptance import newer_manifest
 from kumquatchuted.routing.acceptance import PendingManifest
@@ -51,6 +52,8 @@
         self.mailbox = Mailbox()
         # Called when this node's preferred source has changed.
         self.restart_callbacks: tuple[Callable[[], None], ...] = ()
+        # Called when a node that relays the objects does not respond.
+        self.silence_callbacks: tuple[Callable[[Source], None], ...] = ()
         self._cfg = cfg
         self._subscribers = subscribers
         self._clock = clock
@@ -140,6 +143,10 @@
                 self._on_store_unavailable(topic, reason)
             case StoreRecovered(topic=topic):
                 self._on_store_recovered(topic, now)
+            case SourceSilent(source=source):
+                log.info("source silent address={}", source.address)
+                for callback in self.silence_callbacks:
+                    callback(source)
 
     def _add_nodes(self, objects: tuple[DecodedObject, ...]) -> None:
         nodes = {
--- a/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
@@ -18,6 +18,7 @@
 from kumquatchuted.membership.object_reader import Changes
 from kumquatchuted.membership.object_reader import HistoryGone
 from kumquatchuted.membership.object_reader import Listing
+from kumquatchuted.membership.object_reader import SourceUnresponsive
 from kumquatchuted.membership.object_reader import TopicDecoder
 from kumquatchuted.membership.sources import Source
 from kumquatchuted.platform.decoding import encode_node
@@ -43,6 +44,10 @@
 # The store responds within milliseconds; in its slowest disturbance, which
 # makes it 100 times slower, a response takes 0.4 s.
 CALL_TIMEOUT_S = 2.0
+# Timeout of a listing of another node, and time for its response after the
+# longest duration of a watch. A node that does not run accepts connections and
+# does not respond, and a change must apply within 3 s from the next source.
+RELAY_TIMEOUT_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
 MAX_PAGES = 200
 # First and longest backoff between attempts to write the entry of this node.
@@ -79,8 +84,10 @@
         items: dict[str, Item] = {}
         revision = None
         query = {ANY_AGE: "1"} if any_age else {}
+        is_urgent = not source.is_store and not any_age
+        timeout_s = RELAY_TIMEOUT_S if is_urgent else CALL_TIMEOUT_S
         for _ in range(MAX_PAGES):
-            body = await self._get(source, decoder.kind, query, CALL_TIMEOUT_S)
+            body = await self._get(source, decoder.kind, query, timeout_s)
             match body:
                 case HistoryGone():
                     return _unavailable("a listing returned status 410")
@@ -126,7 +133,8 @@
             after the revision
         """
         query = {"watch": str(revision), "waitMs": str(int(wait_s * 1000))}
-        timeout_s = wait_s + WATCH_MARGIN_S
+        margin_s = WATCH_MARGIN_S if source.is_store else RELAY_TIMEOUT_S
+        timeout_s = wait_s + margin_s
         body = await self._get(source, decoder.kind, query, timeout_s)
         if isinstance(body, Failure | HistoryGone):
             return body
@@ -177,8 +185,10 @@
                 return HistoryGone()
             case Response(status=status):
                 return interpret_failed_read(ErrorResponse(status))
-            case failed_call:
-                return interpret_failed_read(failed_call)
+        failure = interpret_failed_read(result)
+        if source.is_store:
+            return failure
+        return SourceUnresponsive(failure.kind, failure.reason)
 
 
 def _relayed(item: Item, source: Source) -> object:
