Bound the memory that responses of searchers take in a node

Searchers that send without end made a node use far more memory than its settings allow, so that it could end and lose the requests of all clients.

Cause: each response was limited to 16 MiB, and nothing limited all of them together. Headers take more memory than their text, and parts of a body were kept as single objects.

The task of searchers counts the bytes of each response until its request has ended. Bodies are collected in one buffer, and a response may have 256 headers and half of the share.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
@@ -7,14 +7,25 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from kumquatchute_standins.platform.searcher_entries import make_searcher_entry
 
 RECORD_BYTES = 16
+ENDLESS_CHUNK = b"x" * 65_536
 # Number of parallel requests that a searcher announces.
 SLOTS = 2
 
 
+class EndlessPart(Enum):
+    """Part of a response that has no end."""
+
+    HEAD_LINE = "head line"
+    HEADERS = "headers"
+    BODY = "body"
+    SMALL_CHUNKS = "small chunks"
+
+
 @dataclass(frozen=True, slots=True)
 class SearcherFaults:
     """Faults of a searcher.
@@ -27,6 +38,7 @@
     :param retry_after: value of ``Retry-After`` in these refusals, if any
     :param fail: requests run and get a response with status 500
     :param leaving: all responses state that the searcher leaves
+    :param endless: responses have no end
     """
 
     delay_s: float = 0.0
@@ -37,6 +49,7 @@
     retry_after: str | None = None
     fail: bool = False
     leaving: bool = False
+    endless: EndlessPart | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +172,9 @@
             Arrival(self.name, self.service, request_id, target, now)
         )
         await asyncio.sleep(self.service_time_s + self.faults.delay_s)
+        if self.faults.endless is not None:
+            await _send_without_end(writer, self.faults.endless)
+            return False
         if self.faults.silent:
             await reader.read()
             return False
@@ -201,6 +217,27 @@
     )
 
 
+async def _send_without_end(
+    writer: asyncio.StreamWriter, part: EndlessPart
+) -> None:
+    """Send bytes as fast as they are read, until the connection closes."""
+    head = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: endless\r\n"
+    match part:
+        case EndlessPart.HEAD_LINE:
+            start, repeated = head + b"X-Line: ", ENDLESS_CHUNK
+        case EndlessPart.HEADERS:
+            start, repeated = head, b"a: \r\n" * 10_000
+        case EndlessPart.BODY:
+            start, repeated = head + b"\r\n", ENDLESS_CHUNK
+        case EndlessPart.SMALL_CHUNKS:
+            chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+            start, repeated = head + chunked, b"1\r\nx\r\n" * 10_000
+    writer.write(start)
+    while True:
+        writer.write(repeated)
+        await writer.drain()
+
+
 async def _send_response(
     writer: asyncio.StreamWriter,
     status: int,
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
@@ -46,6 +46,8 @@
 budgetWindowS = 10
 warmupFactor = 1.5
 warmupSlack = 5
+[limits]
+memoryMb = {memory_mb}
 [platform]
 address = "{store}"
 """
@@ -63,6 +65,7 @@
         nodes go through proxies
     :param descriptors: limit of open files of a node, None for the limit of
         the process that starts it
+    :param memory_mb: memory that the settings of a node name, in megabytes
     """
 
     nodes: tuple[str, ...] = ("a", "b")
@@ -71,6 +74,7 @@
     singles: tuple[str, ...] = ("a", "b")
     proxied: bool = False
     descriptors: int | None = None
+    memory_mb: int = 560
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,6 +251,13 @@
                 while not await _is_ok(session, url):
                     await asyncio.sleep(0.05)
 
+    def peak_memory_mb(self, node: FleetNode) -> float:
+        """Return the peak resident memory of a node in megabytes."""
+        pid = self._processes[node.name].pid
+        status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+        lines = dict(line.split(":", 1) for line in status.splitlines())
+        return int(lines["VmHWM"].split()[0]) / 1024
+
     def searchers_of(self, service: str) -> list[EmulatedSearcher]:
         """Return the searchers of a service."""
         return [
@@ -328,6 +339,7 @@
                     metrics=metrics_port,
                     seeds=seeds,
                     store=f"127.0.0.1:{node_store_port}",
+                    memory_mb=self.shape.memory_mb,
                 ),
                 encoding="utf-8",
             )
--- a/packages/kumquatchuted/src/kumquatchuted/forward/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/task.py
@@ -19,6 +19,7 @@
 from kumquatchuted.searchers.messages import AttemptDone
 from kumquatchuted.searchers.messages import AttemptKept
 from kumquatchuted.searchers.messages import OutgoingRequest
+from kumquatchuted.searchers.messages import ResponsesUsed
 from kumquatchuted.searchers.messages import SendAttempt
 from kumquatchuted.searchers.messages import WithdrawAttempt
 
@@ -81,6 +82,7 @@
         )
         self._progress = retry_progress.AttemptProgress()
         self._pending: set[ForwardKey] = set()
+        self._ended: list[ForwardKey] = []
 
     async def run(self) -> ForwardResult:
         """Run the request and abandon attempts whose result is not needed.
@@ -97,6 +99,7 @@
                 linger_s = max(0.0, remaining_s) + CLOSE_MARGIN_S
             for key in self._pending:
                 self._post(AbandonAttempt(key, linger_s))
+            self._post(ResponsesUsed(tuple(self._ended)))
 
     async def _run(self) -> ForwardResult:
         self._send_attempt(is_retry=False)
@@ -107,7 +110,7 @@
                 case AttemptAssigned():
                     self._assign(message, now)
                 case AttemptDone(key=key, result=result):
-                    self._pending.discard(key)
+                    self._end_attempt(key)
                     self._apply_result(result)
                 case DeadlineMoved(deadline=deadline):
                     self._deadline = min(self._deadline, deadline)
@@ -138,7 +141,7 @@
                             undecided.discard(key)
                         case AttemptDone(key=key, result=result):
                             undecided.discard(key)
-                            self._pending.discard(key)
+                            self._end_attempt(key)
                             self._progress, _ = retry_progress.apply_result(
                                 self._progress, result, self._policy
                             )
@@ -146,6 +149,10 @@
             return conclude(self._progress, self._policy.at_most_once)
         return conclude_timeout(self._progress)
 
+    def _end_attempt(self, key: ForwardKey) -> None:
+        self._pending.discard(key)
+        self._ended.append(key)
+
     def _assign(self, message: AttemptAssigned, now: float) -> None:
         self._progress = retry_progress.assign_searcher(
             self._progress, message.searcher, now + message.hedge_delay_s
--- a/packages/kumquatchuted/src/kumquatchuted/forward/tests/test_not_run.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/tests/test_not_run.py
@@ -89,6 +89,7 @@
         self.results: dict[bytes, ForwardResult] = {}
         self.ended_at: dict[bytes, float] = {}
         self.runs: list[ReceivedRequest] = []
+        self.kept_bytes: int | None = None
         self._rng = rng
         self._tasks: list[ForwardTask] = []
 
@@ -115,6 +116,7 @@
         await asyncio.gather(*requests, return_exceptions=True)
         await asyncio.sleep(5.0)
         running.cancel()
+        self.kept_bytes = searchers.kept_bytes()
 
     async def _request(self, number: int, searchers: SearchersTask) -> None:
         request_id = b"r%d" % number
@@ -178,6 +180,7 @@
     for req in play.loop.received:
         assert req.received_at <= play.ended_at[req.request_id]
     assert len(play.ended_at) == case.requests
+    assert play.kept_bytes == 0
     return Counter(refused=len(refused), ran=len(run_counts))
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -124,6 +124,7 @@
         partials.mailbox.post,
         max_searcher_connections(),
     )
+    metrics.report_kept_bytes("responses", searchers.kept_bytes)
     membership = MembershipTask(
         cfg,
         (
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/metrics.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/metrics.py
@@ -45,6 +45,12 @@
             ["topic"],
             registry=self._registry,
         )
+        self._kept_bytes = Gauge(
+            "kumquatchute_kept_bytes",
+            "Bytes that the node keeps for others, by what they are.",
+            ["data"],
+            registry=self._registry,
+        )
         self._durations = Histogram(
             "kumquatchute_request_seconds",
             "Time from the receipt of a request to its end.",
@@ -76,6 +82,14 @@
         """
         self._topic_ages.labels(topic).set_function(age_s)
 
+    def report_kept_bytes(self, data: str, count: Callable[[], int]) -> None:
+        """Render the number of bytes that are kept as a gauge.
+
+        :param data: what the bytes are
+        :param count: returns the number at each rendering
+        """
+        self._kept_bytes.labels(data).set_function(count)
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self._registry)
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/settings.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/settings.py
@@ -17,6 +17,8 @@
         sustains
     :param warmup_slack: requests per second to a cold searcher that are
         allowed beyond that multiple
+    :param memory_bytes: memory that the process may use; a change takes effect
+        at the next start
     """
 
     apply_s: float
@@ -27,6 +29,7 @@
     retry_window_s: float
     warmup_factor: float
     warmup_slack: float
+    memory_bytes: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/tests/example_settings.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/tests/example_settings.py
@@ -21,5 +21,6 @@
         retry_window_s=10,
         warmup_factor=1.5,
         warmup_slack=5,
+        memory_bytes=560 * 1024 * 1024,
     ),
 )
--- a/packages/kumquatchuted/src/kumquatchuted/gather/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -35,6 +35,7 @@
 from kumquatchuted.searchers.messages import AttemptAssigned
 from kumquatchuted.searchers.messages import AttemptDone
 from kumquatchuted.searchers.messages import OutgoingRequest
+from kumquatchuted.searchers.messages import ResponsesUsed
 from kumquatchuted.searchers.messages import SendAttempt
 from kumquatchuted.searchers.messages import SendShards
 from kumquatchuted.searchers.messages import ShardsNotSent
@@ -104,6 +105,7 @@
         self._pending_partials: set[object] = set()
         self._clock = clock
         self._pending: set[QueryKey] = set()
+        self._ended: list[QueryKey] = []
         self._state = initial_state(
             QueryPlan(
                 len(destination.shards),
@@ -131,6 +133,7 @@
         finally:
             for key in self._pending:
                 self._post(AbandonAttempt(key, linger_s))
+            self._post(ResponsesUsed(tuple(self._ended)))
             for key in self._pending_partials:
                 self._post_partial(AbandonPartialQuery(key))
 
@@ -159,6 +162,7 @@
                 return ShardAssigned(key.shard, searcher, hedge_delay_s)
             case AttemptDone(key=key, result=result):
                 self._pending.discard(key)
+                self._ended.append(key)
                 return ShardDone(key.shard, result)
             case PartialQueryAssigned(key=key, query=query):
                 self._pending_partials.add(key)
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the data that a node keeps for others."""
--- a/packages/kumquatchuted/src/kumquatchuted/partials/tests/test_partial_not_run.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/tests/test_partial_not_run.py
@@ -100,6 +100,7 @@
         await asyncio.gather(*map(serve, range(QUERIES)))
         await asyncio.sleep(5.0)
         running.cancel()
+        assert searchers.kept_bytes() == 0
 
     run_on_network(main(), loop)
     assert not refused & ran
--- a/packages/kumquatchuted/src/kumquatchuted/platform/settings.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/settings.py
@@ -12,6 +12,8 @@
 
 SETTINGS_VARIABLE = "KUMQUATCHUTE_SETTINGS"
 MS_PER_S = 1000
+BYTES_PER_MB = 1024 * 1024
+DEFAULT_MEMORY_MB = 256.0
 
 
 class _Listeners(msgspec.Struct):
@@ -34,6 +36,10 @@
     warmup_slack: float = 0.0
 
 
+class _Limits(msgspec.Struct, rename="camel", frozen=True):
+    memory_mb: float = DEFAULT_MEMORY_MB
+
+
 class _Platform(msgspec.Struct):
     address: str
 
@@ -45,6 +51,7 @@
     listen_addrs: _Listeners
     bounds: _Bounds
     platform: _Platform
+    limits: _Limits = _Limits()
     internal_ports: list[int] = []
     # Addresses of a few other nodes; some can be outdated or down.
     seeds: list[str] = []
@@ -83,5 +90,6 @@
             retry_window_s=bounds.budget_window_s,
             warmup_factor=bounds.warmup_factor,
             warmup_slack=bounds.warmup_slack,
+            memory_bytes=int(raw.limits.memory_mb * BYTES_PER_MB),
         ),
     )
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import replace
 
 from logbook import Logger
@@ -29,6 +30,7 @@
 from kumquatchuted.searchers.pending import PendingAttempt
 from kumquatchuted.searchers.pending import ReconnectDue
 from kumquatchuted.searchers.pool import ConnectionPool
+from kumquatchuted.searchers.received import ReceivedBytes
 from kumquatchuted.searchers.waiting import latest_start
 from kumquatchuted.searchers.waiting import WaitExpired
 from kumquatchuted.searchers.waiting_attempts import WaitingAttempts
@@ -50,6 +52,7 @@
         self,
         balancer: LoadBalancer,
         pool: ConnectionPool,
+        received: ReceivedBytes,
         budgets: ServiceBudgets,
         post: Post,
         clock: Callable[[], float],
@@ -63,6 +66,7 @@
         """
         self._balancer = balancer
         self._pool = pool
+        self._received = received
         self._budgets = budgets
         self._post = post
         self._clock = clock
@@ -135,6 +139,10 @@
         now = self._clock()
         connection = event.connection
         attempt = self._attempts.pop(event.key, None)
+        if attempt is None or attempt.is_abandoned:
+            self._received.release(connection)
+        else:
+            self._received.keep(connection, event.key)
         if event.is_reusable:
             connection.idle_timeout_s = codec.decode_keep_alive_timeout(
                 event.response
@@ -148,6 +156,7 @@
         """Report the loss of the request that awaited a response, if any."""
         connection = event.connection
         any_service = self._pool.is_at_total_limit()
+        self._received.release(connection)
         self._pool.remove(connection)
         key = event.key if event.key is not None else connection.waiting_key
         attempt = self._attempts.get(key)
@@ -201,6 +210,7 @@
         :param linger_s: time after which its connection is closed, in seconds
         """
         self._waiting.remove(key)
+        self._received.release_attempt(key)
         attempt = self._attempts.get(key)
         if attempt is None:
             return
@@ -209,8 +219,14 @@
         elif linger_s <= 0:
             self.close(key)
         else:
+            self._attempts[key] = replace(attempt, is_abandoned=True)
             self._post_later(linger_s, LingerExpired(key))
 
+    def on_responses_used(self, keys: Iterable[object]) -> None:
+        """Count responses no longer whose request has ended."""
+        for key in keys:
+            self._received.release_attempt(key)
+
     def close(self, key: object) -> None:
         """Close the connection of a pending attempt.
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
@@ -23,10 +23,10 @@
 PARSER_ERRORS = (HttpParserError, HttpParserUpgrade)
 # Responses with these statuses have no body, whatever their headers state.
 BODILESS_STATUSES = (204, 304)
-# A faulty searcher may send bytes without end. The limit on all that arrives
-# for a request lets dozens of them arrive at once in the few hundred megabytes
-# of a node.
+# A faulty searcher may send bytes without end.
 MAX_RECEIVED_BYTES = 16 * 1024 * 1024
+# A header takes about 200 bytes besides its text.
+MAX_HEADERS = 256
 # Bytes of heads, trailers and framing: a fixed part, and for each byte of a
 # body more than the six of a chunk that holds a single byte.
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -123,12 +123,20 @@
     """
 
     def __init__(
-        self, process: ProcessId, codec: HeadCodec, post: Callable
+        self,
+        process: ProcessId,
+        codec: HeadCodec,
+        post: Callable,
+        on_received: Callable[["Connection", int], None],
+        max_received_bytes: int = MAX_RECEIVED_BYTES,
     ) -> None:
         """Create the protocol of a connection that is being opened.
 
         :param process: process of the searcher
         :param post: receives the events of the connection
+        :param on_received: called with the number of bytes that have arrived
+            for a request; it may call ``fail``
+        :param max_received_bytes: how many bytes may arrive for a request
         """
         self.process = process
         self.searcher = process.name
@@ -140,6 +148,8 @@
         self.idle_timeout_s: float | None = None
         self._codec = codec
         self._post = post
+        self._on_received = on_received
+        self._max_received_bytes = max_received_bytes
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._must_close = False
@@ -191,13 +201,13 @@
         except PARSER_ERRORS as exc:
             self._must_close = True
             if self._complete_response is None:
-                self._fail(f"invalid HTTP response: {exc}")
+                self.fail(f"invalid HTTP response: {exc}")
                 return
         self._received_bytes += len(data)
         if self._complete_response is None and self._is_too_long():
-            self._must_close = True
-            self._fail("response too long")
+            self.fail("response too long")
             return
+        self._on_received(self, len(data))
         self._post_response()
 
     def eof_received(self) -> bool:
@@ -243,7 +253,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body (callback of the parser)."""
-        self._body.append(body)
+        self._body += body
         self._received_body_bytes += len(body)
 
     def on_message_complete(self) -> None:
@@ -272,8 +282,9 @@
             # pending one may follow.
             return
         self._complete_response = RawResponse(
-            self._status, tuple(self._headers), b"".join(self._body)
+            self._status, tuple(self._headers), bytes(self._body)
         )
+        self._body = bytearray()
 
     def _post_response(self) -> None:
         """Post the response if one is complete.
@@ -299,8 +310,11 @@
             self._parser.feed_data(data)
         self.close()
 
-    def _fail(self, reason: str) -> None:
+    def fail(self, reason: str) -> None:
+        """Give up the response that is being received."""
         exchange, self._exchange = self._exchange, None
+        self._complete_response = None
+        self._reset_response()
         if exchange is not None:
             self._post(ConnectionClosed(self, exchange.key, reason))
         self._transport.abort()
@@ -310,7 +324,8 @@
         body_bytes = self._received_body_bytes
         overhead_bytes = self._received_bytes - body_bytes
         return (
-            self._received_bytes > MAX_RECEIVED_BYTES
+            self._received_bytes > self._max_received_bytes
+            or len(self._headers) > MAX_HEADERS
             or overhead_bytes
             > MAX_OVERHEAD_BYTES + body_bytes * MAX_OVERHEAD_PER_BODY_BYTE
         )
@@ -325,6 +340,7 @@
 
     def _reset_response(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        # Parts of a body can be single bytes, which take more as objects.
+        self._body = bytearray()
         self._status = 0
         self._is_header_complete = False
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
@@ -100,6 +100,13 @@
     reply_to: Callable[[object], None]
 
 
+@dataclass(frozen=True, slots=True)
+class ResponsesUsed:
+    """The responses to some attempts are not kept any longer."""
+
+    keys: tuple[object, ...]
+
+
 class RefusalCause(Enum):
     """Why an attempt was not sent to any searcher."""
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/pending.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/pending.py
@@ -15,6 +15,8 @@
     :param started_at: monotonic time in seconds
     :param connection: carries the request, or will once it is open
     :param is_sent: whether the request was written to the connection
+    :param is_abandoned: whether its request has ended, so that no task uses
+        the response
     """
 
     message: SendAttempt
@@ -22,6 +24,7 @@
     started_at: float
     connection: Connection
     is_sent: bool
+    is_abandoned: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
@@ -10,6 +10,7 @@
 from kumquatchuted.searchers.connect import connect
 from kumquatchuted.searchers.connection import Connection
 from kumquatchuted.searchers.connection import HeadCodec
+from kumquatchuted.searchers.connection import MAX_RECEIVED_BYTES
 
 log = Logger("searchers")
 
@@ -28,15 +29,25 @@
     """Owns connections that are open, being opened or idle."""
 
     def __init__(
-        self, codec: HeadCodec, post: Callable, max_total: int | None
+        self,
+        codec: HeadCodec,
+        post: Callable,
+        max_total: int | None,
+        on_received: Callable[[Connection, int], None],
+        max_received_bytes: int = MAX_RECEIVED_BYTES,
     ) -> None:
         """Create an empty pool.
 
         :param post: receives the events of the connections
         :param max_total: how many connections to all searchers together may
             be open; None if there is no limit
+        :param on_received: called with a connection and the number of bytes
+            that have arrived on it for a request
+        :param max_received_bytes: how many bytes may arrive for a request
         """
         self._codec = codec
+        self._on_received = on_received
+        self._max_received_bytes = max_received_bytes
         self._max_total = max_total
         self._total = 0
         self._post = post
@@ -79,7 +90,13 @@
         if self.is_at_total_limit():
             self._close_longest_idle()
             return None
-        connection = Connection(process_of(searcher), self._codec, self._post)
+        connection = Connection(
+            process_of(searcher),
+            self._codec,
+            self._post,
+            self._on_received,
+            self._max_received_bytes,
+        )
         connections.append(connection)
         self._total += 1
         task = asyncio.ensure_future(
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -16,6 +16,7 @@
 from kumquatchuted.mailbox import handle_messages
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.membership.messages import MembersChanged
+from kumquatchuted.memory.shares import plan_shares
 from kumquatchuted.notices.messages import ProcessesLeaving
 from kumquatchuted.notices.messages import ProcessId
 from kumquatchuted.platform import searcher_codec as codec
@@ -27,16 +28,19 @@
 from kumquatchuted.searchers.connection import ConnectionClosed
 from kumquatchuted.searchers.connection import ConnectionOpened
 from kumquatchuted.searchers.connection import HeadCodec
+from kumquatchuted.searchers.connection import MAX_RECEIVED_BYTES
 from kumquatchuted.searchers.connection import NoticesReceived
 from kumquatchuted.searchers.connection import ResponseReceived
 from kumquatchuted.searchers.messages import AbandonAttempt
 from kumquatchuted.searchers.messages import RequestReceived
+from kumquatchuted.searchers.messages import ResponsesUsed
 from kumquatchuted.searchers.messages import SendAttempt
 from kumquatchuted.searchers.messages import SendShards
 from kumquatchuted.searchers.messages import WithdrawAttempt
 from kumquatchuted.searchers.pending import LingerExpired
 from kumquatchuted.searchers.pending import ReconnectDue
 from kumquatchuted.searchers.pool import ConnectionPool
+from kumquatchuted.searchers.received import ReceivedBytes
 from kumquatchuted.searchers.shards import build_partial_query
 from kumquatchuted.searchers.shards import refuse_uncovered
 from kumquatchuted.searchers.waiting import WaitExpired
@@ -72,8 +76,14 @@
         self._count_event = count_event
         self._post_partial = post_partial
         self._balancer = LoadBalancer(cfg, rng)
+        max_bytes = plan_shares(cfg.limits.memory_bytes).responses
+        self._received = ReceivedBytes(max_bytes)
         self._pool = ConnectionPool(
-            HEAD_CODEC, self.mailbox.post, max_connections
+            HEAD_CODEC,
+            self.mailbox.post,
+            max_connections,
+            self._received.add,
+            min(MAX_RECEIVED_BYTES, max_bytes // 2),
         )
         self._budgets = ServiceBudgets(
             _budget_limits(cfg), self._balancer.retry_share, clock
@@ -81,6 +91,7 @@
         self._attempts = Attempts(
             self._balancer,
             self._pool,
+            self._received,
             self._budgets,
             self.mailbox.post,
             clock,
@@ -91,6 +102,10 @@
         """Handle messages until cancelled."""
         await handle_messages(self.mailbox, self._handle, self._count_event)
 
+    def kept_bytes(self) -> int:
+        """Return how many bytes of searchers' responses are kept."""
+        return self._received.total()
+
     def leaving_processes(
         self, services: Collection[str]
     ) -> tuple[ProcessId, ...]:
@@ -118,6 +133,8 @@
                 self._attempts.withdraw(message)
             case AbandonAttempt(key=key, linger_s=linger_s):
                 self._attempts.abandon(key, linger_s)
+            case ResponsesUsed(keys=keys):
+                self._attempts.on_responses_used(keys)
             case LingerExpired(key=key):
                 self._attempts.close(key)
             case WaitExpired(key=key):
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
@@ -55,7 +55,9 @@
         transport
     """
     posted: list = []
-    connection = Connection(PROCESS, HEAD_CODEC, posted.append)
+    connection = Connection(
+        PROCESS, HEAD_CODEC, posted.append, lambda connection, count: None
+    )
     transport = FakeTransport()
     connection.connection_made(transport)
     connection.send(Exchange("k", b"r1", expects_body), b"GET")
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_pool.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_pool.py
@@ -36,7 +36,9 @@
         server = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         events: asyncio.Queue = asyncio.Queue()
-        pool = ConnectionPool(HEAD_CODEC, events.put_nowait, max_total=2)
+        pool = ConnectionPool(
+            HEAD_CODEC, events.put_nowait, 2, lambda connection, count: None
+        )
         for number in range(2):
             pool.open(searcher(number, port), 1)
             opened = await events.get()
