Reject answers of the store that are read after their timeout

After a suspension a node could take the state of before for current, and relay it to other nodes as confirmed at that moment.

Cause: after a suspension an answer and the timeout of its call are due at once, and the answer was used if the event loop read it first.

A read that is complete only after its timeout now counts as unanswered.

--- a/packages/kumquatchuted/src/kumquatchuted/platform/transport.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/transport.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client for the platform's object store."""
 
+import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -67,7 +68,19 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def call(self, req: Request) -> Response | FailedCall:
-        """Send a request and read the whole response."""
+        """Send a request and read the whole response.
+
+        A response to a read that is complete only after the timeout is not
+        used: the process was suspended, and what was read is as old as that.
+        """
+        clock = asyncio.get_running_loop().time
+        deadline = clock() + req.timeout_s
+        result = await self._call(req)
+        if req.method == "GET" and clock() > deadline:
+            return NoResponse("no answer from the store in time")
+        return result
+
+    async def _call(self, req: Request) -> Response | FailedCall:
         headers = {"Accept": "application/json"}
         if req.body is not None:
             headers["Content-Type"] = "application/json"
