Bound the memory that messages and unread answers take in a node

Callers that send long bodies and do not finish them, another node that sends without end, and callers that do not read their answers made a node use more memory than its settings allow.

Cause: as for responses of searchers, single messages were limited, or not even that (partial queries and responses to them), and nothing limited all of them.

ByteBudget gives bodies, partial queries and responses of the store a share each and gives up the longest message that is still being read when the share is used; its caller gets 503, not run. UnreadAnswers aborts the connection with the most unread bytes. Listeners read 64 KB at a time. The gauge kumquatchute_kept_bytes shows all shares. These are three faults of one cause; they are in one commit because the shares divide one limit.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
@@ -39,6 +39,7 @@
     :param fail: requests run and get a response with status 500
     :param leaving: all responses state that the searcher leaves
     :param endless: responses have no end
+    :param body_bytes: length of the bodies; None for records
     """
 
     delay_s: float = 0.0
@@ -50,6 +51,7 @@
     fail: bool = False
     leaving: bool = False
     endless: EndlessPart | None = None
+    body_bytes: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +190,8 @@
         if self.limit_per_s is not None:
             response_headers["Server-Limit"] = str(self.limit_per_s)
         body = build_records(self.service, request_id)
+        if self.faults.body_bytes is not None:
+            body = b"x" * self.faults.body_bytes
         if self.faults.cut_answer:
             await _send_response(
                 writer, status, response_headers, body, cut=True
--- a/packages/kumquatchuted/src/kumquatchuted/front/app.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/app.py
@@ -21,6 +21,9 @@
 from kumquatchuted.http.disconnect import Application
 from kumquatchuted.http.disconnect import CancelOnDisconnect
 from kumquatchuted.mailbox import Post
+from kumquatchuted.memory.byte_budget import ByteBudget
+from kumquatchuted.memory.byte_budget import ReadStop
+from kumquatchuted.memory.byte_budget import Reservation
 from kumquatchuted.partials.codec import decode_partial_request
 from kumquatchuted.partials.codec import encode_partial
 from kumquatchuted.partials.messages import PartialQueryRequest
@@ -38,6 +41,9 @@
 RETRY_AFTER_SHARE = 0.3
 # Retry-After for a caller that does not state its timeout.
 DEFAULT_RETRY_AFTER_S = 0.5
+# A partial query holds the header and the body of a caller's request, which
+# are limited to about a megabyte.
+MAX_PARTIAL_QUERY_BYTES = 4 * 1024 * 1024
 
 
 class CallerSink:
@@ -48,6 +54,7 @@
         router: Router,
         state: Callable[[], FrontState],
         post: Post,
+        bodies: ByteBudget,
         count_event: Callable[[str, str], None],
         clock: Callable[[], float],
     ) -> None:
@@ -56,9 +63,11 @@
         :param router: runs the requests
         :param state: returns the current limits and readiness
         :param post: mailbox of the front task
+        :param bodies: limits the bodies that are kept
         :param count_event: counts an event by its name and a label
         :param clock: monotonic time in seconds
         """
+        self._bodies = bodies
         self._router = router
         self._state = state
         self._post = post
@@ -80,24 +89,41 @@
 
     async def _run(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response
+    ) -> None:
+        with self._bodies.reserve() as reservation:
+            await self._run_with_body(req, resp, reservation)
+
+    async def _run_with_body(
+        self,
+        req: falcon.asgi.Request,
+        resp: falcon.asgi.Response,
+        reservation: Reservation,
     ) -> None:
         started_at = self._clock()
-        max_body_bytes = self._state().limits.max_body_bytes
-        body = await req.stream.read(max_body_bytes + 1)
+        body = await reservation.read(
+            req.stream, self._state().limits.max_body_bytes
+        )
         caller_req = decode_request(
             req.method,
             req.scope["raw_path"],
             req.scope["query_string"],
             req.scope["headers"],
-            body,
+            b"" if isinstance(body, ReadStop) else body,
             req.scope.get("state", {}).get(FIRST_REQUEST, False),
         )
-        if len(body) > max_body_bytes:
-            result = refuse(
-                caller_req, ErrorKind.TOO_LARGE, "the body is too long"
-            )
-        else:
-            result = await self._router.run(caller_req)
+        match body:
+            case ReadStop.TOO_LONG:
+                result = refuse(
+                    caller_req, ErrorKind.TOO_LARGE, "the body is too long"
+                )
+            case ReadStop.MEMORY_USED:
+                result = refuse(
+                    caller_req,
+                    ErrorKind.UNAVAILABLE,
+                    "the memory for bodies is used",
+                )
+            case _:
+                result = await self._router.run(caller_req)
         match result:
             case CallerAnswer():
                 resp.status = result.status
@@ -202,15 +228,19 @@
 class PartialQueryResource:
     """Queries some of the shards of a query for another node."""
 
-    def __init__(self, serve: Callable, post: Post) -> None:
+    def __init__(
+        self, serve: Callable, messages: ByteBudget, post: Post
+    ) -> None:
         """Create the resource.
 
         :param serve: takes a ``PartialQueryRequest`` and returns a
             ``PartialQueryResponse`` or a ``Failure``
+        :param messages: limits the messages that are kept
         :param post: mailbox of the front task, which counts the request as
             pending
         """
         self._serve = serve
+        self._messages = messages
         self._post = post
 
     async def on_post(
@@ -229,28 +259,38 @@
     async def _run(
         self, req: falcon.asgi.Request, resp: falcon.asgi.Response
     ) -> None:
-        message = decode_partial_request(await req.stream.read())
-        match message:
-            case Failure(reason=reason):
-                log.warning("partial query rejected cause={}", reason)
-                resp.status = ERROR_STATUSES[message.kind].http_status
-            case PartialQueryRequest():
-                response = await self._serve(message)
-                if isinstance(response, Failure):
-                    resp.status = ERROR_STATUSES[response.kind].http_status
-                else:
-                    resp.data = encode_partial(response)
-
-
-def peer_app(relay: Relay, serve: Callable, post: Post) -> Application:
+        with self._messages.reserve() as reservation:
+            data = await reservation.read(req.stream, MAX_PARTIAL_QUERY_BYTES)
+            match data:
+                case ReadStop(value=reason):
+                    # Nothing was sent, so the other node can do it itself.
+                    message = Failure(ErrorKind.UNAVAILABLE, reason)
+                case _:
+                    message = decode_partial_request(data)
+            match message:
+                case Failure(reason=reason):
+                    log.warning("partial query rejected cause={}", reason)
+                    resp.status = ERROR_STATUSES[message.kind].http_status
+                case PartialQueryRequest():
+                    response = await self._serve(message)
+                    if isinstance(response, Failure):
+                        resp.status = ERROR_STATUSES[response.kind].http_status
+                    else:
+                        resp.data = encode_partial(response)
+
+
+def peer_app(
+    relay: Relay, serve: Callable, messages: ByteBudget, post: Post
+) -> Application:
     """Return the application for other nodes.
 
     :param serve: takes a ``PartialQueryRequest`` and returns a
         ``PartialQueryResponse`` or a ``Failure``
+    :param messages: limits the messages that are kept
     :param post: mailbox of the front task
     """
     app = falcon.asgi.App()
-    app.add_route("/partials", PartialQueryResource(serve, post))
+    app.add_route("/partials", PartialQueryResource(serve, messages, post))
     app.add_route("/objects/{kind}", RelayResource(relay))
     return CancelOnDisconnect(app)
 
--- a/packages/kumquatchuted/src/kumquatchuted/front/listener.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/listener.py
@@ -11,6 +11,7 @@
 
 from kumquatchute_model.errors import Failure
 from kumquatchuted.front.messages import FrontState
+from kumquatchuted.front.unread import UnreadAnswers
 from kumquatchuted.http.disconnect import Application
 from kumquatchuted.http.server import bind_socket
 from kumquatchuted.http.server import HeaderLimits
@@ -23,28 +24,52 @@
 # The node waits this many times as long as the timeouts that are announced to
 # callers, so that it closes no connection while a request is in transit.
 TIMEOUT_FACTOR = 1.2
+# Bytes that are read from a connection at a time. All connections can be
+# readable at once, and what is read is kept until the request's task runs.
+MAX_READ_BYTES = 65_536
 
 
 class ListenerProtocol(LimitedHttpProtocol):
     """HTTP protocol with the limits of the manifest in force."""
 
     def __init__(
-        self, state: Callable[[], FrontState], **options: object
+        self,
+        state: Callable[[], FrontState],
+        unread: UnreadAnswers,
+        **options: object,
     ) -> None:
         """Create the protocol of one connection.
 
         :param state: returns the limits in force
+        :param unread: lists the connections whose callers do not read
         :param options: arguments of uvicorn's protocol
         """
         super().__init__(**options)
         self._state = state
+        self._unread = unread
         self.timeout_keep_alive = self.header_limits().idle_timeout_s
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Mark the next request as the first one."""
         self.app_state[FIRST_REQUEST] = True
+        transport.max_size = MAX_READ_BYTES
         super().connection_made(transport)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Remove the connection from the list of those that do not read."""
+        self._unread.discard(self.transport)
+        super().connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        """List the connection: its caller does not read."""
+        super().pause_writing()
+        self._unread.add(self.transport)
+
+    def resume_writing(self) -> None:
+        """Remove the connection from the list: its caller has read."""
+        self._unread.discard(self.transport)
+        super().resume_writing()
+
     def header_limits(self) -> HeaderLimits:
         """Return the limits in force."""
         limits = self._state().limits
@@ -65,12 +90,17 @@
     """Owns a listening socket and its connections."""
 
     def __init__(
-        self, app: Application, state: Callable[[], FrontState]
+        self,
+        app: Application,
+        state: Callable[[], FrontState],
+        unread: UnreadAnswers,
     ) -> None:
         """Create a listener.
 
         :param state: returns the limits in force
+        :param unread: lists the connections whose callers do not read
         """
+        self._unread = unread
         self._config = http_config(app, date_header=False)
         self._config.load()
         self._state = state
@@ -104,6 +134,7 @@
     def _protocol(self) -> LimitedHttpProtocol:
         return ListenerProtocol(
             self._state,
+            self._unread,
             config=self._config,
             server_state=self._server_state,
             app_state={},
--- a/packages/kumquatchuted/src/kumquatchuted/front/tests/test_caller_app.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/tests/test_caller_app.py
@@ -15,6 +15,7 @@
 from kumquatchuted.front.open_requests import OpenRequests
 from kumquatchuted.front.router import Router
 from kumquatchuted.front.task import DEFAULT_LIMITS
+from kumquatchuted.memory.byte_budget import ByteBudget
 from kumquatchuted.platform.callers import CallerRequest
 from kumquatchuted.routing.messages import Manifest
 from kumquatchuted.routing.table import build_table
@@ -57,7 +58,12 @@
 def send_request(router, clock, state=STATE, body=b""):
     """Send a request as the server does; return status and headers."""
     sink = CallerSink(
-        router, lambda: state, lambda message: None, lambda *args: None, clock
+        router,
+        lambda: state,
+        lambda message: None,
+        ByteBudget(1_000_000),
+        lambda *args: None,
+        clock,
     )
     scope = {
         "type": "http",
--- a/packages/kumquatchuted/src/kumquatchuted/front/tests/test_listener.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/tests/test_listener.py
@@ -6,6 +6,7 @@
 from kumquatchuted.front.listener import Listener
 from kumquatchuted.front.messages import FrontState
 from kumquatchuted.front.task import DEFAULT_LIMITS
+from kumquatchuted.front.unread import UnreadAnswers
 from kumquatchuted.http.server import bind_socket
 
 STATE = FrontState(None, DEFAULT_LIMITS, False)
@@ -27,7 +28,9 @@
     """
 
     async def run() -> bytes:
-        listener = Listener(delayed_app, lambda: STATE)
+        listener = Listener(
+            delayed_app, lambda: STATE, UnreadAnswers(1_000_000)
+        )
         sock = bind_socket("127.0.0.1:0")
         address = "127.0.0.1:%d" % sock.getsockname()[1]
         sock.close()
@@ -99,7 +102,9 @@
         await delayed_app(scope, receive, send)
 
     async def run() -> None:
-        listener = Listener(recording_app, lambda: STATE)
+        listener = Listener(
+            recording_app, lambda: STATE, UnreadAnswers(1_000_000)
+        )
         sock = bind_socket("127.0.0.1:0")
         address = "127.0.0.1:%d" % sock.getsockname()[1]
         sock.close()
--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -17,6 +17,7 @@
 from kumquatchuted.front.open_requests import OpenRequests
 from kumquatchuted.front.router import Router
 from kumquatchuted.front.task import FrontTask
+from kumquatchuted.front.unread import UnreadAnswers
 from kumquatchuted.gateway.descriptors import max_searcher_connections
 from kumquatchuted.gateway.metrics import GatewayMetrics
 from kumquatchuted.gateway.reload import ReloadTask
@@ -25,6 +26,8 @@
 from kumquatchuted.membership.messages import Node
 from kumquatchuted.membership.messages import Topic
 from kumquatchuted.membership.task import MembershipTask
+from kumquatchuted.memory.byte_budget import ByteBudget
+from kumquatchuted.memory.shares import plan_shares
 from kumquatchuted.partials.messages import PartialQueryRequest
 from kumquatchuted.partials.messages import PartialQueryResponse
 from kumquatchuted.partials.serving import serve_partial_query
@@ -109,12 +112,18 @@
         clock,
         metrics.count,
     )
+    shares = plan_shares(cfg.limits.memory_bytes)
+    bodies = ByteBudget(shares.bodies)
+    messages = ByteBudget(shares.partials)
+    responses_of_store = ByteBudget(shares.store)
+    unread = UnreadAnswers(shares.answers)
     partials = PartialsTask(
         cfg,
         clock,
         rng,
         metrics.count,
         lambda message: searchers.mailbox.post(message),
+        messages,
     )
     searchers = SearchersTask(
         cfg,
@@ -125,6 +134,10 @@
         max_searcher_connections(),
     )
     metrics.report_kept_bytes("responses", searchers.kept_bytes)
+    metrics.report_kept_bytes("bodies", bodies.used_bytes)
+    metrics.report_kept_bytes("partials", messages.used_bytes)
+    metrics.report_kept_bytes("store", responses_of_store.used_bytes)
+    metrics.report_kept_bytes("answers", unread.total)
     membership = MembershipTask(
         cfg,
         (
@@ -135,7 +148,7 @@
         clock,
     )
     relay = Relay(clock)
-    transport = Transport()
+    transport = Transport(responses_of_store)
     client = ObjectClient(transport, relay)
     followers = _build_followers(client, membership, rng, clock)
     for topic, follower in followers.items():
@@ -155,12 +168,17 @@
         metrics.observe,
     )
     sink = CallerSink(
-        router, front.state, front.mailbox.post, metrics.count, clock
+        router,
+        front.state,
+        front.mailbox.post,
+        bodies,
+        metrics.count,
+        clock,
     )
-    caller_listener = Listener(caller_app(sink), front.state)
+    caller_listener = Listener(caller_app(sink), front.state, unread)
     operations_asgi = operations_app(front.state, metrics.render)
-    operations_listener = Listener(operations_asgi, front.state)
-    metrics_listener = Listener(operations_asgi, front.state)
+    operations_listener = Listener(operations_asgi, front.state, unread)
+    metrics_listener = Listener(operations_asgi, front.state, unread)
 
     async def serve(
         req: PartialQueryRequest,
@@ -176,7 +194,9 @@
         )
 
     peer_listener = Listener(
-        peer_app(relay, serve, front.mailbox.post), front.state
+        peer_app(relay, serve, messages, front.mailbox.post),
+        front.state,
+        unread,
     )
     listeners += [caller_listener, peer_listener]
 
--- a/packages/kumquatchuted/src/kumquatchuted/memory/shares.py
+++ b/packages/kumquatchuted/src/kumquatchuted/memory/shares.py
@@ -6,10 +6,10 @@
 # the process itself needs memory, and a byte that is kept takes up to two in
 # buffers and in copies that exist for a moment.
 KEPT_SHARE = 0.25
-RESPONSES_SHARE = 0.4
-BODIES_SHARE = 0.2
+RESPONSES_SHARE = 0.35
+BODIES_SHARE = 0.15
 PARTIALS_SHARE = 0.15
-STORE_SHARE = 0.15
+STORE_SHARE = 0.25
 ANSWERS_SHARE = 0.1
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -14,6 +14,8 @@
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.membership.messages import MembersChanged
 from kumquatchuted.membership.messages import Node
+from kumquatchuted.memory.byte_budget import ByteBudget
+from kumquatchuted.memory.byte_budget import ReadStop
 from kumquatchuted.notices.messages import ProcessesLeaving
 from kumquatchuted.partials.codec import decode_partial_response
 from kumquatchuted.partials.codec import encode_partial
@@ -37,6 +39,8 @@
 # A node counts as failed if its response is this much later than requested.
 RESPONSE_GRACE_S = 0.04
 CONNECT_TIMEOUT_S = 0.05
+# A response holds a digest of each shard and the records of one answer.
+MAX_RESPONSE_BYTES = 1024 * 1024
 UNAVAILABLE_STATUS = ERROR_STATUSES[ErrorKind.UNAVAILABLE].http_status
 MS_PER_S = 1000
 
@@ -51,6 +55,7 @@
         rng: random.Random,
         count_event: Callable[[str, str], None],
         post_searchers: Callable[[object], None],
+        messages: ByteBudget,
     ) -> None:
         """Create the task.
 
@@ -58,6 +63,7 @@
         :param rng: decides between nodes with equally many pending queries
         :param count_event: counts an event by its name and a label
         :param post_searchers: mailbox of the task of searchers
+        :param messages: limits the responses that are kept
         """
         self.mailbox = Mailbox()
         self._cfg = cfg
@@ -65,6 +71,7 @@
         self._rng = rng
         self._count_event = count_event
         self._post_searchers = post_searchers
+        self._messages = messages
         self._nodes: dict[str, Node] = {}
         self._states: dict[str, NodeState] = {}
         self._query_tasks: dict[object, asyncio.Task] = {}
@@ -175,8 +182,11 @@
             async with self._get_session().post(
                 url, data=body, timeout=timeout
             ) as http_response:
-                data = await http_response.read()
                 status = http_response.status
+                with self._messages.reserve() as reservation:
+                    data = await reservation.read(
+                        http_response.content.iter_any(), MAX_RESPONSE_BYTES
+                    )
         except aiohttp.ClientConnectorError as exc:
             return NoResponse(f"{type(exc).__name__} {exc}", was_sent=False)
         except aiohttp.ConnectionTimeoutError as exc:
@@ -188,6 +198,8 @@
             return NoResponse(
                 "the node has no usable searcher", was_sent=False
             )
+        if isinstance(data, ReadStop):
+            return NoResponse(data.value, was_sent=True)
         response = decode_partial_response(data)
         if isinstance(response, Failure):
             return NoResponse(
--- a/packages/kumquatchuted/src/kumquatchuted/platform/transport.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/transport.py
@@ -6,6 +6,8 @@
 
 import aiohttp
 
+from kumquatchuted.memory.byte_budget import ByteBudget
+from kumquatchuted.memory.byte_budget import ReadStop
 from kumquatchuted.platform.outcomes import FailedCall
 from kumquatchuted.platform.outcomes import NoResponse
 from kumquatchuted.platform.outcomes import NotSent
@@ -50,10 +52,6 @@
     """The connection was lost; aiohttp does not retry on this class."""
 
 
-class ResponseTooLongError(aiohttp.ClientError):
-    """The response is longer than ``MAX_RESPONSE_BYTES``."""
-
-
 class Transport:
     """Owns the connections to the store; returns failed calls, never raises.
 
@@ -63,8 +61,13 @@
     take effect.
     """
 
-    def __init__(self) -> None:
-        """Create a transport; the session is opened on first use."""
+    def __init__(self, budget: ByteBudget | None = None) -> None:
+        """Create a transport; the session is opened on first use.
+
+        :param budget: limits the responses that are kept, by default to
+            ``MAX_RESPONSE_BYTES`` together
+        """
+        self._budget = budget or ByteBudget(MAX_RESPONSE_BYTES)
         self._session: aiohttp.ClientSession | None = None
 
     async def call(self, req: Request) -> Response | FailedCall:
@@ -99,7 +102,13 @@
                 allow_redirects=False,
                 middlewares=() if req.method == "GET" else (_prevent_retry,),
             ) as resp:
-                return Response(resp.status, await _read_body(resp))
+                with self._budget.reserve() as reservation:
+                    body = await reservation.read(
+                        resp.content.iter_any(), MAX_RESPONSE_BYTES
+                    )
+                if isinstance(body, ReadStop):
+                    return NoResponse(body.value)
+                return Response(resp.status, body)
         except CALL_ERRORS as exc:
             return _to_failed_call(exc)
 
@@ -151,13 +160,3 @@
         case _:
             name = type(exc).__name__
             return NoResponse(f"connection to the store failed: {name}")
-
-
-async def _read_body(resp: aiohttp.ClientResponse) -> bytes:
-    body = bytearray()
-    async for chunk in resp.content.iter_any():
-        body += chunk
-        if len(body) > MAX_RESPONSE_BYTES:
-            resp.close()
-            raise ResponseTooLongError
-    return bytes(body)
