Check which shards a response of another node names

A response that named a shard that was not requested ended the task of the partial query without a result, so that its query waited until a hedge was due. One that named a shard twice or without a digest was merged.

Such a response now counts as none: the shards are retried.

test_response_that_names_shards_wrongly_is_not_merged has the check; there was none before.

--- a/packages/kumquatchuted/src/kumquatchuted/partials/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/messages.py
@@ -127,3 +127,19 @@
     stamps: tuple[bytes, ...]
     records: bytes
     leaving: tuple[ProcessId, ...] = ()
+
+
+def names_shards_once(response: PartialQueryResponse, shards: int) -> bool:
+    """Return whether a response names each covered shard with its digest.
+
+    A response of another version or of a faulty node could name shards that
+    were not requested, or count one twice.
+
+    :param shards: number of shards that were requested
+    """
+    covered = response.covered
+    return (
+        len(covered) == len(set(covered)) == len(response.stamps)
+        and all(0 <= shard < shards for shard in covered)
+        and all(response.stamps)
+    )
--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -20,6 +20,7 @@
 from kumquatchuted.partials.codec import decode_partial_response
 from kumquatchuted.partials.codec import encode_partial
 from kumquatchuted.partials.messages import AbandonPartialQuery
+from kumquatchuted.partials.messages import names_shards_once
 from kumquatchuted.partials.messages import PartialQueryAssigned
 from kumquatchuted.partials.messages import PartialQueryDone
 from kumquatchuted.partials.messages import PartialQueryRequest
@@ -205,6 +206,10 @@
             return NoResponse(
                 f"status {status}: {response.reason}", was_sent=True
             )
+        if not names_shards_once(response, len(query.shards)):
+            return NoResponse(
+                "the response names shards wrongly", was_sent=True
+            )
         return response
 
     def _add_pending(self, node: Node, delta: int) -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/partials/tests/test_partials.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/tests/test_partials.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from kumquatchute_model.errors import Failure
 from kumquatchuted.membership.messages import Node
@@ -10,6 +11,7 @@
 from kumquatchuted.partials.codec import encode_partial
 from kumquatchuted.partials.grouping import group_remote_shards
 from kumquatchuted.partials.grouping import ShardGroup
+from kumquatchuted.partials.messages import names_shards_once
 from kumquatchuted.partials.messages import PartialQueryResponse
 from kumquatchuted.partials.nodes import choose_node
 from kumquatchuted.partials.nodes import FIRST_BACKOFF_S
@@ -106,3 +108,27 @@
         decode_partial_response(data), PartialQueryResponse | Failure
     )
     decode_partial_request(data)
+
+
+@pytest.mark.parametrize(
+    ("covered", "stamps", "is_usable"),
+    [
+        ((0, 3), (b"s0", b"s3"), True),
+        ((), (), True),
+        ((0, 4), (b"s0", b"s4"), False),
+        ((-1,), (b"s0",), False),
+        ((1, 1), (b"s1", b"s2"), False),
+        ((1, 2), (b"s1",), False),
+        ((1,), (b"",), False),
+    ],
+)
+def test_response_that_names_shards_wrongly_is_not_merged(
+    covered: tuple[int, ...], stamps: tuple[bytes, ...], is_usable: bool
+) -> None:
+    """Guards against an answer that merges what no shard has answered.
+
+    A position that was not requested also ended the task of the partial
+    query, and the caller waited for its shards in vain.
+    """
+    response = PartialQueryResponse(covered, stamps, b"records")
+    assert names_shards_once(response, 4) is is_usable
