Spread the watches of nodes that read from one relay

On hosts whose clocks agree, all nodes of a data centre would call their relay in the same moment, every half second.

Each node adds a random phase.

--- a/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gateway/compose.py
@@ -255,6 +255,9 @@
     rng: random.Random,
     clock: Callable[[], float],
 ) -> dict[Topic, Follower]:
+    # The watches of the nodes that read from one relay must not all end in the
+    # same moment.
+    node_phase_s = rng.uniform(0.0, WATCH_S)
     return {
         topic: Follower(
             topic,
@@ -265,7 +268,7 @@
             rng,
             clock,
             WATCH_S,
-            phase_s=WATCH_S * number / len(TOPIC_DECODERS),
+            phase_s=node_phase_s + WATCH_S * number / len(TOPIC_DECODERS),
         )
         for number, (topic, decoder) in enumerate(TOPIC_DECODERS.items())
     }
