Keep a watch of a relay from waiting for a time too short to pass

The property test of the age of beliefs ran into its timeout in 4 of 6 runs of the whole folder, and its play then went on with a dead follower.

Cause: since a watch also ends when its objects are too old. The rest of that time can be a rounding error, which does not change the clock when it is added to it. A virtual clock then stands still. A real one moves on, so that a node only repeated the wait.

A watch now waits for a millisecond at least.

test_watch_does_not_spin_before_its_objects_are_too_old failed before.

--- a/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/relay.py
@@ -19,6 +19,9 @@
 # within which a change must apply to read from another source.
 FRESHNESS_S = 2.5
 MAX_WATCH_WAIT_S = 30.0
+# Shortest wait for a change. The clock can be a rounding error before the time
+# at which the objects are too old, and a wait of that length would not end.
+MIN_WAIT_S = 0.001
 # Query parameter that accepts a listing of any age.
 ANY_AGE = "anyAge"
 
@@ -182,7 +185,7 @@
             remaining_s = deadline - self._clock()
             if names or remaining_s <= 0:
                 return _encode_events(cached, names, revision)
-            fresh_s = FRESHNESS_S - self._age_s(cached)
+            fresh_s = max(MIN_WAIT_S, FRESHNESS_S - self._age_s(cached))
             try:
                 async with asyncio.timeout(min(remaining_s, fresh_s)):
                     await cached.changed_event.wait()
--- a/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_relay.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_relay.py
@@ -1,6 +1,7 @@
 """Tests of the relay: listings, watches and the age of its objects."""
 
 import asyncio
+import math
 
 import msgspec
 
@@ -8,6 +9,7 @@
 from kumquatchuted.platform.relay import Relay
 from kumquatchuted.platform.wire import decode_events
 from kumquatchuted.platform.wire import decode_page
+from kumquatchuted.targets.tests.virtual_loop import run_in_virtual_time
 
 
 class Clock:
@@ -174,3 +176,32 @@
         assert response.content["asOf"] == 6
 
     asyncio.run(scenario())
+
+
+def test_watch_does_not_spin_before_its_objects_are_too_old() -> None:
+    """Guards against a watch that waits for a time too short to pass.
+
+    The clock was a rounding error before the time at which the objects are too
+    old, and adding the rest to it changed nothing.
+    """
+
+    async def scenario() -> None:
+        clock = Clock()
+        readings = 0
+
+        def count_reading() -> float:
+            nonlocal readings
+            readings += 1
+            return clock.now
+
+        relay = Relay(count_reading)
+        relay.record_listing("servers", {}, 5)
+        clock.now = math.nextafter(clock.now + FRESHNESS_S, 0.0)
+        watch = asyncio.ensure_future(relay.watch("servers", 5, 2.0))
+        for _ in range(100):
+            await asyncio.sleep(0)
+        assert readings < 10
+        clock.now += 0.001
+        assert (await watch).status == 503
+
+    run_in_virtual_time(scenario())
