Restart only the watches of a relay that is silent

Since each silence of a relay restarted the watches of all topics, also those of the store, whose calls are priced.

A follower now begins its watch again only if it watches the silent node.

test_only_followers_of_a_silent_source_leave_it failed before for the other source.

--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -111,7 +111,8 @@
         The watch of this topic could stay silent for much longer.
         """
         self._failed_at[source] = self._clock()
-        self._restart_requested.set()
+        if source == self._active_source:
+            self._restart_requested.set()
 
     def state_age_s(self) -> float:
         """Return the time since a source last confirmed the state, in seconds.
--- a/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
@@ -26,6 +26,7 @@
 DECODER = TopicDecoder("things", lambda name, item: name)
 STORE = Source("10.0.0.1:80", is_store=True)
 RELAY = Source("10.0.0.2:80", is_store=False)
+OTHER_RELAY = Source("10.0.0.3:80", is_store=False)
 DOWN = Failure(ErrorKind.UNAVAILABLE, "down")
 
 
@@ -285,6 +286,32 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("silent", "listed", "watches"),
+    [(RELAY, [RELAY, STORE], 2), (OTHER_RELAY, [RELAY], 1)],
+    ids=["watched", "other"],
+)
+def test_only_followers_of_a_silent_source_leave_it(
+    silent: Source, listed: list[Source], watches: int
+) -> None:
+    """Guards against further calls of the store for each silent relay.
+
+    A follower that watches another source would begin its watch again.
+    """
+
+    async def scenario() -> None:
+        store = ScriptedStore([Listing((), 5), Listing((), 5)], [])
+        _, follower, task = await run_follower(store, sources=(RELAY, STORE))
+        follower.on_source_silent(silent)
+        for _ in range(50):
+            await asyncio.sleep(0)
+        task.cancel()
+        assert store.listed_sources == listed
+        assert len(store.revisions) == watches
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("relay_revision", "listed"),
     [(8, [STORE, RELAY, STORE]), (9, [STORE, RELAY])],
