Wait for the request before its caller disconnects in a test

Cause: the caller left after 0.2 s, and the request had not reached the task by then, so that there was no request whose cancellation could be checked. The test was wrong to count on that time. It waits for the request now, and then closes the connection and checks the cancellation as before. Without CancelOnDisconnect it fails, as it did before.

--- a/packages/kumquatchuted/src/kumquatchuted/http/tests/test_http_task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/http/tests/test_http_task.py
@@ -335,13 +335,17 @@
     received = []
 
     async def scenario(node):
-        with pytest.raises(TimeoutError):
-            await node.send(
+        call = asyncio.ensure_future(
+            node.send(
                 "POST",
                 SEARCH_PATH,
                 json={"name": "a", "deadline_ms": 10_000},
-                timeout=aiohttp.ClientTimeout(total=0.2),
             )
+        )
+        async with asyncio.timeout(5):
+            while not received:
+                await asyncio.sleep(0.01)
+        call.cancel()
         for _ in range(100):
             if received[0].fut.cancelled():
                 return True
