Keep the age of a searcher's entry when it is listed again

Cause: each listing counted the warm-up time of all entries from then.

The registry keeps the revision of each entry. An entry with the same revision was not written again, and its warm-up counts from when it was first seen.

test_entry_that_is_read_again_is_as_old_as_before failed with the registry of before.

--- a/packages/kumquatchuted/src/kumquatchuted/membership/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/messages.py
@@ -39,10 +39,12 @@
     """An object of the platform's store.
 
     :param value: decoded value; None if the object is malformed
+    :param revision: revision of its last change; 0 if it is not known
     """
 
     name: str
     value: object
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +112,8 @@
 
     :param searchers: ready and draining searchers by name; those whose entries
         are missing because of an outage of the store are included
-    :param seen_at: monotonic time of each searcher's last report, in seconds
+    :param seen_at: monotonic time at which each searcher's entry was first
+        seen as it is, in seconds
     :param evacuated: data centres that receive no new work
     :param nodes: nodes of this system by name
     """
--- a/packages/kumquatchuted/src/kumquatchuted/membership/registry.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/registry.py
@@ -23,7 +23,8 @@
 class Registry:
     """Known searchers by name. Times are monotonic, in seconds.
 
-    :param seen_at: time of the last report of each searcher
+    :param seen_at: when the entry of each searcher was first seen as it is
+    :param revisions: revision of each of these entries
     :param expires_at: time at which a searcher without an entry is removed,
         unless the entry reappears
     :param is_store_unavailable: whether the store cannot be read at present
@@ -33,12 +34,13 @@
 
     searchers: Mapping[str, RegisteredSearcher]
     seen_at: Mapping[str, float]
+    revisions: Mapping[str, int]
     expires_at: Mapping[str, float]
     is_store_unavailable: bool = False
     recovered_at: float | None = None
 
 
-EMPTY_REGISTRY = Registry({}, {}, {})
+EMPTY_REGISTRY = Registry({}, {}, {}, {})
 
 
 def mark_store_unavailable(registry: Registry) -> Registry:
@@ -86,28 +88,33 @@
 ) -> Registry:
     """Return the registry after changes of entries.
 
-    A malformed entry removes its searcher at once, even during an outage.
+    A malformed entry removes its searcher at once, even during an outage. An
+    entry that is read again, for example in a listing, says nothing new about
+    the time for which its searcher stays cold.
 
     :param removed: names of the removed entries
     :param now: monotonic time in seconds
     """
     searchers = dict(registry.searchers)
     seen_at = dict(registry.seen_at)
+    revisions = dict(registry.revisions)
     expires_at = dict(registry.expires_at)
     for item in written:
         expires_at.pop(item.name, None)
-        if isinstance(item.value, RegisteredSearcher):
-            searchers[item.name] = item.value
-            seen_at[item.name] = now
-        else:
+        if not isinstance(item.value, RegisteredSearcher):
             searchers.pop(item.name, None)
             seen_at.pop(item.name, None)
+            revisions.pop(item.name, None)
+        elif revisions.get(item.name) != item.revision or not item.revision:
+            searchers[item.name] = item.value
+            seen_at[item.name] = now
+            revisions[item.name] = item.revision
     keep_until = _keep_until(registry, now)
     for name in removed:
         if name not in searchers:
             continue
         if keep_until is None:
-            del searchers[name], seen_at[name]
+            del searchers[name], seen_at[name], revisions[name]
             expires_at.pop(name, None)
         else:
             expires_at.setdefault(name, keep_until)
@@ -115,6 +122,7 @@
         registry,
         searchers=searchers,
         seen_at=seen_at,
+        revisions=revisions,
         expires_at=expires_at,
     )
 
@@ -135,6 +143,7 @@
         registry,
         searchers=_without(registry.searchers, expired),
         seen_at=_without(registry.seen_at, expired),
+        revisions=_without(registry.revisions, expired),
         expires_at=_without(registry.expires_at, expired),
     )
 
--- a/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_registry.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_registry.py
@@ -1,5 +1,9 @@
 """Searchers that are kept during and after outages of the store."""
 
+from dataclasses import replace
+
+import pytest
+
 from kumquatchuted.membership.messages import DecodedObject
 from kumquatchuted.membership.messages import RegisteredSearcher
 from kumquatchuted.membership.messages import SearcherState
@@ -87,3 +91,21 @@
         listed("a"), (DecodedObject("a", None),), (), 1.0
     )
     assert not registry.searchers
+
+
+@pytest.mark.parametrize(("revision", "seen_at"), [(7, 0.0), (8, 2.0)])
+def test_entry_that_is_read_again_is_as_old_as_before(
+    revision: int, seen_at: float
+) -> None:
+    """Guards against searchers that stay cold for as long as they are listed.
+
+    On day scale-1 of grown Peachline, nodes that changed their source listed
+    the entries of new shards again and refused queries over them, because the
+    warm-up time of each entry began anew. An entry that was written again
+    counts from then.
+    """
+    first = replace(entry("a"), revision=7)
+    registry = reg.replace_searchers(reg.EMPTY_REGISTRY, (first,), 0.0)
+    again = replace(first, revision=revision)
+    registry = reg.replace_searchers(registry, (again,), 2.0)
+    assert registry.seen_at["a"] == seen_at
--- a/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
@@ -103,7 +103,6 @@
             if not page.has_more or not page.items:
                 break
             query = query | {"after": page.items[-1].name}
-        contents = {name: item.content for name, item in items.items()}
         relayed = {
             name: _relayed(item, source) for name, item in items.items()
         }
@@ -112,8 +111,10 @@
         )
         return Listing(
             tuple(
-                DecodedObject(name, decoder.decode(name, content))
-                for name, content in contents.items()
+                DecodedObject(
+                    name, decoder.decode(name, item.content), item.revision
+                )
+                for name, item in items.items()
             ),
             revision or 0,
             max((item.revision for item in items.values()), default=0),
@@ -144,7 +145,7 @@
             return _unavailable(f"malformed response to a watch: {exc}")
         _warn_skipped(decoder.kind, source, batch.skipped)
         latest = {
-            event.item.name: None if event.removed else event.item.content
+            event.item.name: None if event.removed else event.item
             for event in batch.events
         }
         relayed = {
@@ -158,11 +159,13 @@
         )
         return Changes(
             tuple(
-                DecodedObject(name, decoder.decode(name, content))
-                for name, content in latest.items()
-                if content is not None
+                DecodedObject(
+                    name, decoder.decode(name, item.content), item.revision
+                )
+                for name, item in latest.items()
+                if item is not None
             ),
-            tuple(name for name, content in latest.items() if content is None),
+            tuple(name for name, item in latest.items() if item is None),
             batch.revision,
             max((event.item.revision for event in batch.events), default=0),
         )
