Reword comments and remove a print from a test

Read as a newcomer: three docstrings of the counts of received bytes had a double negation, a comment on failed watches named the exception before the rule, and a test printed its figures.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_endless_responses.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_endless_responses.py
@@ -57,7 +57,6 @@
             for result in results
             if result.status == 200 and result.error is None
         ]
-        print(part, site.peak_memory_mb(node), len(served), len(results))
         assert site.peak_memory_mb(node) < MEMORY_MB
         assert len(served) >= 0.9 * len(results)
 
--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -300,9 +300,9 @@
                 return
             if isinstance(result, Failure):
                 if not source.is_store:
-                    # The store may still respond to list calls and does not
-                    # count as failed. A node that is suspended does not, so
-                    # that the call would only take more time.
+                    # A node that did not respond to a watch may be suspended,
+                    # and a list call to it would only take more time. The
+                    # store may still respond to one.
                     self._on_source_failed(source, result)
                 log.info(
                     "watch failed topic={} address={} revision={} age_s={:.2f}"
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
@@ -223,7 +223,7 @@
             self._post_later(linger_s, LingerExpired(key))
 
     def on_responses_used(self, keys: Iterable[object]) -> None:
-        """Count responses no longer whose request has ended."""
+        """Stop counting responses whose request has ended."""
         for key in keys:
             self._received.release_attempt(key)
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/received.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/received.py
@@ -58,12 +58,12 @@
             self._kept[key] = (connection.searcher, count)
 
     def release(self, connection: Connection) -> None:
-        """Count the bytes of a response that is not used no longer."""
+        """Stop counting a response that no request uses."""
         count = self._receiving.pop(connection, 0)
         self._change(connection.searcher, -count)
 
     def release_attempt(self, key: object) -> None:
-        """Count the response to an attempt no longer."""
+        """Stop counting the response to an attempt."""
         searcher, count = self._kept.pop(key, ("", 0))
         self._change(searcher, -count)
 
