Log from which connection a response was taken and why

A response that was taken left no line unless it was a failure, and one that was skipped left none at all.

The new slice responses decides by its head whose a response is: that of the request that it names, that of the only request of its connection, foreign, or unproven. Here the verdict is only logged and counted; what is taken is as before. Attempts name their connection, single requests, retries and unusual responses leave a line, and a query names the searcher and connection of each part.

--- a/packages/kumquatchuted/src/kumquatchuted/gather/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 import itertools
 
+from logbook import Logger
+
 from kumquatchuted.gather.decide import decide
 from kumquatchuted.gather.decide import initial_state
 from kumquatchuted.gather.decide import next_wake_at
@@ -40,6 +42,8 @@
 from kumquatchuted.searchers.messages import SendShards
 from kumquatchuted.searchers.messages import ShardsNotSent
 
+log = Logger("gather")
+
 # Time for the responses to attempts that are no longer needed. If a searcher
 # responds within it, the connection is used again; otherwise it is closed, so
 # that the searcher stops and its slot is free.
@@ -129,6 +133,12 @@
         try:
             finish = await self._run()
             linger_s = LINGER_S
+            if finish.responses:
+                log.info(
+                    "query answered parts={} request={}",
+                    ",".join(item.source for item in finish.responses),
+                    self._outgoing.request_id.decode("latin-1"),
+                )
             return finish
         finally:
             for key in self._pending:
--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -146,7 +146,7 @@
                 self._states[node.name] = NodeState(state.pending)
                 if result.leaving:
                     self._post_searchers(ProcessesLeaving(result.leaving))
-                responses = _shard_responses(query, result)
+                responses = _shard_responses(node, query, result)
                 done = PartialQueryDone(query.key, query, responses)
         query.reply_to(done)
 
@@ -228,7 +228,9 @@
 
 
 def _shard_responses(
-    query: SendPartialQuery, partial_response: PartialQueryResponse
+    node: Node,
+    query: SendPartialQuery,
+    partial_response: PartialQueryResponse,
 ) -> tuple[tuple[int, SearcherResponse], ...]:
     """Return the position and a response of each covered shard.
 
@@ -240,6 +242,8 @@
         partial_response.covered, partial_response.stamps
     ):
         body = b"" if responses else partial_response.records
-        response = SearcherResponse(200, stamp, body, False, False, ())
+        response = SearcherResponse(
+            200, stamp, body, False, False, (), source=node.name
+        )
         responses.append((query.shards[position], response))
     return tuple(responses)
--- a/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
@@ -73,8 +73,11 @@
     return b"".join(chunks)
 
 
-def decode_response(raw: RawResponse) -> SearcherResponse:
-    """Decode a response: whether the attempt ran, its stamp and headers."""
+def decode_response(raw: RawResponse, source: str = "") -> SearcherResponse:
+    """Decode a response: whether the attempt ran, its stamp and headers.
+
+    :param source: searcher and connection that it came from
+    """
     stamp = b""
     not_executed = raw.status == MISDIRECTED_STATUS
     forwarded = []
@@ -92,6 +95,7 @@
         not_executed=not_executed,
         wrong_process=raw.status == MISDIRECTED_STATUS,
         headers=tuple(forwarded),
+        source=source,
     )
 
 
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/matching.py
@@ -0,0 +1,54 @@
+"""Decides whether a response is the one to the pending request.
+
+A faulty searcher can send a response twice, the second time late, and can
+break off either copy. A connection that was used before may therefore carry
+bytes that belong to an earlier request.
+"""
+
+import re
+
+from kumquatchuted.responses.messages import Exchange
+from kumquatchuted.responses.messages import Foreign
+from kumquatchuted.responses.messages import MatchedAsFirst
+from kumquatchuted.responses.messages import MatchedById
+from kumquatchuted.responses.messages import ResponseHead
+from kumquatchuted.responses.messages import Unproven
+from kumquatchuted.responses.messages import Verdict
+
+NO_ID = "the response names no request"
+SEVERAL_IDS = "the response names several requests"
+JOINED_RESPONSES = "the response holds the head of another one"
+# Without this text there is no status line; the search for it is fast.
+PROTOCOL_NAME = b"HTTP/1."
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?![0-9])")
+
+
+def match_response(
+    exchange: Exchange, head: ResponseHead, id_header: bytes
+) -> Verdict:
+    """Decide by its head whose response it is.
+
+    :param id_header: header that names the request, in lower case
+    """
+    if is_joined(head.reason):
+        return Unproven(JOINED_RESPONSES)
+    if any(is_joined(value) for _, value in head.headers):
+        return Unproven(JOINED_RESPONSES)
+    named_ids = {value for name, value in head.headers if name == id_header}
+    if len(named_ids) > 1:
+        return Unproven(SEVERAL_IDS)
+    if named_ids and exchange.request_id:
+        (named_id,) = named_ids
+        if named_id == exchange.request_id:
+            return MatchedById()
+        return Foreign(named_id)
+    return MatchedAsFirst() if exchange.is_first else Unproven(NO_ID)
+
+
+def is_joined(text: bytes) -> bool:
+    """Return whether a part of a head contains a status line.
+
+    A response that breaks off inside its head and the next one are parsed as a
+    single head: the status of one with the id of the other.
+    """
+    return PROTOCOL_NAME in text and STATUS_LINE.search(text) is not None
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/tests/test_matching.py
@@ -0,0 +1,98 @@
+"""Which response is the one to the pending request."""
+
+import pytest
+
+from kumquatchuted.responses.matching import JOINED_RESPONSES
+from kumquatchuted.responses.matching import match_response
+from kumquatchuted.responses.matching import NO_ID
+from kumquatchuted.responses.matching import SEVERAL_IDS
+from kumquatchuted.responses.messages import Exchange
+from kumquatchuted.responses.messages import Foreign
+from kumquatchuted.responses.messages import MatchedAsFirst
+from kumquatchuted.responses.messages import MatchedById
+from kumquatchuted.responses.messages import ResponseHead
+from kumquatchuted.responses.messages import Unproven
+from kumquatchuted.responses.messages import Verdict
+
+ID_HEADER = b"x-request-id"
+
+
+def match(
+    *ids: bytes,
+    request_id: bytes = b"r1",
+    is_first: bool = False,
+    reason: bytes = b"OK",
+    headers: tuple[tuple[bytes, bytes], ...] = (),
+) -> Verdict:
+    """Return the verdict on a response that names some requests."""
+    named = tuple((ID_HEADER, value) for value in ids)
+    return match_response(
+        Exchange("k", request_id, True, is_first),
+        ResponseHead(200, reason, headers + named),
+        ID_HEADER,
+    )
+
+
+@pytest.mark.parametrize("is_first", [False, True])
+def test_response_that_names_the_request_is_taken(is_first: bool) -> None:
+    """Guards against good responses that are lost."""
+    assert match(b"r1", is_first=is_first) == MatchedById()
+    assert match(b"r1", b"r1", is_first=is_first) == MatchedById()
+
+
+@pytest.mark.parametrize("is_first", [False, True])
+def test_response_that_names_another_request_is_foreign(
+    is_first: bool,
+) -> None:
+    """Guards against a caller that gets a late copy of another answer."""
+    assert match(b"r0", is_first=is_first) == Foreign(b"r0")
+    # An id that is a part of the other, or empty, is another id.
+    assert match(b"r", is_first=is_first) == Foreign(b"r")
+    assert match(b"", is_first=is_first) == Foreign(b"")
+
+
+def test_response_without_an_id_is_taken_from_a_new_connection_only() -> None:
+    """Guards against a late copy without an id on a connection in use again.
+
+    A searcher that never names requests must still be served from.
+    """
+    assert match(is_first=True) == MatchedAsFirst()
+    assert match() == Unproven(NO_ID)
+
+
+def test_request_without_an_id_needs_a_new_connection() -> None:
+    """Guards against any response that is taken for that to such a request."""
+    assert match(request_id=b"", is_first=True) == MatchedAsFirst()
+    assert match(b"r0", request_id=b"", is_first=True) == MatchedAsFirst()
+    assert match(b"r0", request_id=b"") == Unproven(NO_ID)
+    assert match(b"", request_id=b"") == Unproven(NO_ID)
+
+
+def test_response_that_names_two_requests_proves_nothing() -> None:
+    """Guards against joined heads in which one id is that of the request."""
+    assert match(b"r0", b"r1") == Unproven(SEVERAL_IDS)
+
+
+@pytest.mark.parametrize("is_first", [False, True])
+@pytest.mark.parametrize(
+    "head",
+    [
+        {"reason": b"OHTTP/1.1 500 Failed"},
+        {"headers": ((b"x-a", b"1HTTP/1.1 200 OK"),)},
+        {"headers": ((b"x-server-stamp", b"s0HTTP/1.0 404 Gone"),)},
+    ],
+    ids=["status line", "header", "digest"],
+)
+def test_joined_heads_prove_nothing(head: dict, is_first: bool) -> None:
+    """Guards against the status of one response with the id of another.
+
+    A copy that breaks off inside its head is joined with the next response.
+    """
+    verdict = match(b"r1", is_first=is_first, **head)
+    assert verdict == Unproven(JOINED_RESPONSES)
+
+
+def test_header_with_a_protocol_name_is_no_joined_head() -> None:
+    """Guards against responses that are lost because of a proxy's header."""
+    via = ((b"via", b"HTTP/1.1 cache-7, HTTP/1.1 2001"),)
+    assert match(b"r1", headers=via) == MatchedById()
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
@@ -10,12 +10,12 @@
 from kumquatchuted.mailbox import Post
 from kumquatchuted.membership.messages import RegisteredSearcher
 from kumquatchuted.platform import searcher_codec as codec
+from kumquatchuted.responses.messages import Exchange
 from kumquatchuted.retries.service_budgets import ServiceBudgets
 from kumquatchuted.searchers.balancer import LoadBalancer
 from kumquatchuted.searchers.connect import OUT_OF_DESCRIPTORS
 from kumquatchuted.searchers.connection import Connection
 from kumquatchuted.searchers.connection import ConnectionClosed
-from kumquatchuted.searchers.connection import Exchange
 from kumquatchuted.searchers.connection import ResponseReceived
 from kumquatchuted.searchers.messages import AttemptAssigned
 from kumquatchuted.searchers.messages import AttemptDone
@@ -31,6 +31,7 @@
 from kumquatchuted.searchers.pending import ReconnectDue
 from kumquatchuted.searchers.pool import ConnectionPool
 from kumquatchuted.searchers.received import ReceivedBytes
+from kumquatchuted.searchers.response_log import ResponseLog
 from kumquatchuted.searchers.waiting import latest_start
 from kumquatchuted.searchers.waiting import WaitExpired
 from kumquatchuted.searchers.waiting_attempts import WaitingAttempts
@@ -54,6 +55,7 @@
         pool: ConnectionPool,
         received: ReceivedBytes,
         budgets: ServiceBudgets,
+        response_log: ResponseLog,
         post: Post,
         clock: Callable[[], float],
         count_event: Callable[[str, str], None],
@@ -68,6 +70,7 @@
         self._pool = pool
         self._received = received
         self._budgets = budgets
+        self._response_log = response_log
         self._post = post
         self._clock = clock
         self._count_event = count_event
@@ -301,8 +304,10 @@
             self._count_event("repeats", message.service)
         if message.is_retry or not message.is_shard_query:
             log.info(
-                "attempt sent searcher={} service={} repeat={} {} request={}",
+                "attempt sent searcher={} conn={} service={} repeat={} {}"
+                " request={}",
                 searcher,
+                connection.number,
                 message.service,
                 message.is_retry,
                 self._balancer.describe_load(searcher, now),
@@ -345,7 +350,12 @@
         remaining_s = message.deadline - self._clock()
         expects_body = message.outgoing.method != b"HEAD"
         connection.send(
-            Exchange(key, message.outgoing.request_id, expects_body),
+            Exchange(
+                key,
+                message.outgoing.request_id,
+                expects_body,
+                is_first=connection.is_unused,
+            ),
             codec.encode_attempt(
                 message.outgoing, remaining_s, expected_searcher
             ),
@@ -354,7 +364,9 @@
     def _on_response(
         self, attempt: PendingAttempt, event: ResponseReceived, now: float
     ) -> None:
-        response = codec.decode_response(event.response)
+        source = f"{attempt.searcher}#{event.connection.number}"
+        response = codec.decode_response(event.response, source)
+        self._response_log.on_taken(attempt.message, event, response)
         self._record_outcome(attempt, response, now)
         if response.wrong_process:
             event.connection.close()
@@ -380,8 +392,9 @@
         if response.wrong_process:
             self._balancer.loads.begin_backoff(name, now)
         log.info(
-            "attempt failed searcher={} status={} ran={} request={}",
+            "attempt failed searcher={} conn={} status={} ran={} request={}",
             name,
+            attempt.connection.number,
             response.status,
             not response.not_executed,
             attempt.message.outgoing.request_id.decode("latin-1"),
@@ -425,8 +438,9 @@
     ) -> None:
         self._count_event("lost", attempt.message.service)
         log.info(
-            "attempt lost searcher={} sent={} cause={} request={}",
+            "attempt lost searcher={} conn={} sent={} cause={} request={}",
             attempt.searcher,
+            attempt.connection.number,
             attempt.is_sent,
             reason,
             attempt.message.outgoing.request_id.decode("latin-1"),
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
@@ -17,6 +17,11 @@
 
 from kumquatchuted.notices.messages import Notice
 from kumquatchuted.notices.messages import ProcessId
+from kumquatchuted.responses.matching import match_response
+from kumquatchuted.responses.messages import Exchange
+from kumquatchuted.responses.messages import Foreign
+from kumquatchuted.responses.messages import ResponseHead
+from kumquatchuted.responses.messages import Verdict
 
 # The parser reports a change of protocol, which no request asks for, by an
 # exception of another class.
@@ -42,21 +47,6 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Exchange:
-    """The request that awaits its response on a connection.
-
-    :param key: attempt that the response belongs to
-    :param request_id: value that the id header of the response must have, if
-        it has one
-    :param expects_body: False for a method whose responses have no body
-    """
-
-    key: object
-    request_id: bytes
-    expects_body: bool
-
-
 @dataclass(frozen=True, slots=True)
 class ConnectionOpened:
     """The connection is established."""
@@ -70,12 +60,40 @@
 
     :param key: attempt that the response belongs to
     :param is_reusable: whether another request may be sent on the connection
+    :param verdict: what shows that it belongs to the attempt
     """
 
     connection: "Connection"
     key: object
     response: RawResponse
     is_reusable: bool
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseSkipped:
+    """A response to another request was received and is not used.
+
+    :param request_id: the pending request
+    """
+
+    connection: "Connection"
+    request_id: bytes
+    status: int
+    verdict: Foreign
+
+
+@dataclass(frozen=True, slots=True)
+class UnexpectedBytes:
+    """Bytes arrived while no request was pending.
+
+    :param count: number of bytes
+    :param last_request_id: the request before, empty if there was none
+    """
+
+    connection: "Connection"
+    count: int
+    last_request_id: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +147,7 @@
         post: Callable,
         on_received: Callable[["Connection", int], None],
         max_received_bytes: int = MAX_RECEIVED_BYTES,
+        number: int = 0,
     ) -> None:
         """Create the protocol of a connection that is being opened.
 
@@ -137,9 +156,11 @@
         :param on_received: called with the number of bytes that have arrived
             for a request; it may call ``fail``
         :param max_received_bytes: how many bytes may arrive for a request
+        :param number: identifies the connection in the log
         """
         self.process = process
         self.searcher = process.name
+        self.number = number
         self.is_unused = True
         self.has_responded = False
         # Attempt whose request is sent once the connection is open.
@@ -152,8 +173,10 @@
         self._max_received_bytes = max_received_bytes
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
+        self._last_request_id = b""
         self._must_close = False
         self._complete_response: RawResponse | None = None
+        self._complete_verdict: Verdict | None = None
         self._received_bytes = 0
         self._received_body_bytes = 0
         self._reset_response()
@@ -167,6 +190,7 @@
     def send(self, exchange: Exchange, data: bytes) -> None:
         """Send a request; its response is posted as ``ResponseReceived``."""
         self._exchange = exchange
+        self._last_request_id = exchange.request_id
         self._received_bytes = self._received_body_bytes = 0
         self.is_unused = False
         self._transport.write(data)
@@ -234,6 +258,10 @@
             self._must_close = True
         self._reset_response()
 
+    def on_status(self, reason: bytes) -> None:
+        """Keep the reason phrase (callback of the parser)."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header (callback of the parser)."""
         self._headers.append((name.lower(), value))
@@ -245,6 +273,12 @@
         notices = self._codec.decode_notices(self._status, self._headers)
         if notices:
             self._post(NoticesReceived(self, notices))
+        if self._exchange is not None and self._status >= 200:
+            self._verdict = match_response(
+                self._exchange,
+                ResponseHead(self._status, self._reason, tuple(self._headers)),
+                self._codec.id_header,
+            )
         if self._exchange is not None and not self._exchange.expects_body:
             # The parser would take the next response for the body that these
             # headers announce.
@@ -280,10 +314,19 @@
         if any(value != self._exchange.request_id for value in echoed_ids):
             # A delayed response to an earlier request; the response to the
             # pending one may follow.
+            self._post(
+                ResponseSkipped(
+                    self,
+                    self._exchange.request_id,
+                    self._status,
+                    Foreign(echoed_ids[0]),
+                )
+            )
             return
         self._complete_response = RawResponse(
             self._status, tuple(self._headers), bytes(self._body)
         )
+        self._complete_verdict = self._verdict
         self._body = bytearray()
 
     def _post_response(self) -> None:
@@ -298,13 +341,22 @@
         response, exchange = self._complete_response, self._exchange
         self._complete_response = self._exchange = None
         is_reusable = not self._must_close and self.is_open()
-        self._post(ResponseReceived(self, exchange.key, response, is_reusable))
+        self._post(
+            ResponseReceived(
+                self,
+                exchange.key,
+                response,
+                is_reusable,
+                self._complete_verdict,
+            )
+        )
         if not is_reusable:
             self._transport.close()
 
     def _read_unexpected(self, data: bytes) -> None:
         """Read the head of an unexpected response and close the connection."""
         self._must_close = True
+        self._post(UnexpectedBytes(self, len(data), self._last_request_id))
         # Bytes that are no response state nothing.
         with contextlib.suppress(*PARSER_ERRORS):
             self._parser.feed_data(data)
@@ -343,4 +395,6 @@
         # Parts of a body can be single bytes, which take more as objects.
         self._body = bytearray()
         self._status = 0
+        self._reason = b""
+        self._verdict: Verdict | None = None
         self._is_header_complete = False
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
@@ -138,6 +138,7 @@
     :param wrong_process: whether another process than the chosen searcher
         responded, which now has its address
     :param headers: headers that callers receive, names in lower case
+    :param source: searcher and connection, or node, that it came from
     """
 
     status: int
@@ -146,6 +147,7 @@
     not_executed: bool
     wrong_process: bool
     headers: tuple[tuple[bytes, bytes], ...]
+    source: str = ""
 
     def is_part(self) -> bool:
         """Return whether it may be merged into the answer to a query.
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 
 from logbook import Logger
 
@@ -53,6 +54,7 @@
         self._post = post
         self._connections: dict[str, list[Connection]] = {}
         self._idle: dict[str, list[Connection]] = {}
+        self._numbers = itertools.count(1)
         self._connect_tasks: set[asyncio.Task] = set()
 
     def take_idle(
@@ -96,6 +98,7 @@
             self._post,
             self._on_received,
             self._max_received_bytes,
+            next(self._numbers),
         )
         connections.append(connection)
         self._total += 1
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -31,6 +31,8 @@
 from kumquatchuted.searchers.connection import MAX_RECEIVED_BYTES
 from kumquatchuted.searchers.connection import NoticesReceived
 from kumquatchuted.searchers.connection import ResponseReceived
+from kumquatchuted.searchers.connection import ResponseSkipped
+from kumquatchuted.searchers.connection import UnexpectedBytes
 from kumquatchuted.searchers.messages import AbandonAttempt
 from kumquatchuted.searchers.messages import RequestReceived
 from kumquatchuted.searchers.messages import ResponsesUsed
@@ -41,6 +43,7 @@
 from kumquatchuted.searchers.pending import ReconnectDue
 from kumquatchuted.searchers.pool import ConnectionPool
 from kumquatchuted.searchers.received import ReceivedBytes
+from kumquatchuted.searchers.response_log import ResponseLog
 from kumquatchuted.searchers.shards import build_partial_query
 from kumquatchuted.searchers.shards import refuse_uncovered
 from kumquatchuted.searchers.waiting import WaitExpired
@@ -88,11 +91,13 @@
         self._budgets = ServiceBudgets(
             _budget_limits(cfg), self._balancer.retry_share, clock
         )
+        self._response_log = ResponseLog(count_event)
         self._attempts = Attempts(
             self._balancer,
             self._pool,
             self._received,
             self._budgets,
+            self._response_log,
             self.mailbox.post,
             clock,
             count_event,
@@ -126,6 +131,10 @@
                 self._attempts.on_connection_closed(message)
             case NoticesReceived():
                 self._on_notices(message)
+            case ResponseSkipped():
+                self._response_log.on_skipped(message)
+            case UnexpectedBytes():
+                self._response_log.on_unexpected(message)
             case RequestReceived(services=services):
                 for service in services:
                     self._budgets.record_request(service)
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
@@ -6,12 +6,15 @@
 from kumquatchuted.notices.messages import ProcessId
 from kumquatchuted.platform.searcher_codec import decode_notices
 from kumquatchuted.platform.searcher_codec import REQUEST_ID_HEADER
+from kumquatchuted.responses.messages import Exchange
+from kumquatchuted.responses.messages import Foreign
 from kumquatchuted.searchers.connection import Connection
 from kumquatchuted.searchers.connection import ConnectionClosed
-from kumquatchuted.searchers.connection import Exchange
 from kumquatchuted.searchers.connection import HeadCodec
 from kumquatchuted.searchers.connection import NoticesReceived
 from kumquatchuted.searchers.connection import ResponseReceived
+from kumquatchuted.searchers.connection import ResponseSkipped
+from kumquatchuted.searchers.connection import UnexpectedBytes
 
 PROCESS = ProcessId("i-1", 1)
 HEAD_CODEC = HeadCodec(REQUEST_ID_HEADER, decode_notices)
@@ -60,7 +63,7 @@
     )
     transport = FakeTransport()
     connection.connection_made(transport)
-    connection.send(Exchange("k", b"r1", expects_body), b"GET")
+    connection.send(Exchange("k", b"r1", expects_body, True), b"GET")
     posted.clear()
     return connection, posted, transport
 
@@ -89,9 +92,9 @@
     """
     connection, posted, _ = awaiting_response()
     connection.data_received(STALE_RESPONSE)
-    assert not posted
+    assert posted == [ResponseSkipped(connection, b"r1", 200, Foreign(b"r0"))]
     connection.data_received(PARTIAL_RESPONSE + b"abc")
-    assert posted[0].response.body == b"abc"
+    assert posted[1].response.body == b"abc"
 
 
 @pytest.mark.parametrize(
@@ -117,7 +120,9 @@
     connection, posted, transport = awaiting_response()
     connection.data_received(PARTIAL_RESPONSE + b"abc")
     connection.data_received(STALE_RESPONSE)
-    assert len(posted) == 1
+    assert posted[1:] == [
+        UnexpectedBytes(connection, len(STALE_RESPONSE), b"r1")
+    ]
     assert transport.closing
 
 
@@ -273,7 +278,12 @@
             break
         connection.data_received(repeated)
     assert transport.closing
-    assert [type(event) for event in posted] == [ConnectionClosed]
+    ends = [
+        type(event)
+        for event in posted
+        if not isinstance(event, ResponseSkipped)
+    ]
+    assert ends == [ConnectionClosed]
 
 
 def test_long_response_in_small_chunks_is_read() -> None:
@@ -328,7 +338,11 @@
     posted.clear()
     connection.data_received(LEAVING_HEAD + b"abc")
     assert notices_of(posted) == [(Leaving(),)]
-    assert len(posted) == 1
+    assert {type(event) for event in posted} == {
+        NoticesReceived,
+        UnexpectedBytes,
+    }
+    assert len(posted) == 2
     assert transport.closing
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_received.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_received.py
@@ -3,9 +3,9 @@
 from kumquatchuted.notices.messages import ProcessId
 from kumquatchuted.platform.searcher_codec import decode_notices
 from kumquatchuted.platform.searcher_codec import REQUEST_ID_HEADER
+from kumquatchuted.responses.messages import Exchange
 from kumquatchuted.searchers.connection import Connection
 from kumquatchuted.searchers.connection import ConnectionClosed
-from kumquatchuted.searchers.connection import Exchange
 from kumquatchuted.searchers.connection import HeadCodec
 from kumquatchuted.searchers.received import MEMORY_USED
 from kumquatchuted.searchers.received import ReceivedBytes
@@ -25,7 +25,7 @@
         received.add,
     )
     connection.connection_made(FakeTransport())
-    connection.send(Exchange(searcher, b"r1", True), b"")
+    connection.send(Exchange(searcher, b"r1", True, True), b"")
     return connection
 
 
