Let emulated searchers play and record faulty answers

- The digest of an answer is unique, and its records are computed from it.
Records begin with a low byte, so that text read as a record ranks first.
- Refusals (503, 421) echo X-Request-Id, as the protocol says of all answers.
- SearcherFaults.answers draws faults for single answers by a seed: the id or the digest is missing, two digests, a late second copy (whole, in two pieces, cut in three places) of successes, failures and refusals, answers without a length, broken-off answers, failures with a digest, an interim response.
- A ledger holds every answer that was sent, with what it was.
- The manifest of the site moves to a module of its own, for length.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/callers.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/callers.py
@@ -8,13 +8,14 @@
 import aiohttp
 from yarl import URL
 
-from kumquatchute_standins.platform.fleet.searcher import build_records
-from kumquatchute_standins.platform.fleet.searcher import build_stamp
-from kumquatchute_standins.platform.fleet.site import HOST
-from kumquatchute_standins.platform.fleet.site import TOP_K
+from kumquatchute_standins.platform.fleet.answers import build_records
+from kumquatchute_standins.platform.fleet.answers import greatest_records
+from kumquatchute_standins.platform.fleet.answers import is_stamp_of
+from kumquatchute_standins.platform.fleet.answers import STAMP_HEADER
+from kumquatchute_standins.platform.fleet.manifest import HOST
+from kumquatchute_standins.platform.fleet.manifest import TOP_K
 
 DEADLINE_MS = 2000
-RECORD_BYTES = 16
 _request_numbers = itertools.count(1)
 
 
@@ -108,9 +109,10 @@
 def _check_single(
     request_id: str, headers: object, body: bytes, shards: tuple[str, ...]
 ) -> tuple[str | None, float]:
-    if headers.get("X-Server-Stamp") != build_stamp("single", request_id):
+    stamp = headers.get(STAMP_HEADER, "")
+    if not is_stamp_of(stamp, "single", request_id):
         return "the stamp belongs to another request", 1.0
-    if body != build_records("single", request_id):
+    if body != build_records(stamp):
         return "the body differs from that of the searcher", 1.0
     return None, 1.0
 
@@ -119,23 +121,20 @@
     request_id: str, headers: object, body: bytes, shards: tuple[str, ...]
 ) -> tuple[str | None, float]:
     stamps = [stamp.strip() for stamp in headers["X-Part-Stamps"].split(",")]
-    shard_of_stamp = {
-        build_stamp(shard, request_id): shard for shard in shards
+    covered = {
+        shard
+        for shard in shards
+        for stamp in stamps
+        if is_stamp_of(stamp, shard, request_id)
     }
-    if len(set(stamps)) != len(stamps) or set(stamps) - set(shard_of_stamp):
+    if len(covered) != len(stamps):
         return "a stamp belongs to another request or appears twice", 0.0
     missing = int(headers.get("X-Missing-Parts", "0"))
     coverage = len(stamps) / len(shards)
     if len(stamps) + missing != len(shards):
         return "parts and missing parts do not add up to all shards", coverage
-    candidates = []
-    for stamp in stamps:
-        records = build_records(shard_of_stamp[stamp], request_id)
-        candidates += [
-            records[offset : offset + RECORD_BYTES]
-            for offset in range(0, len(records), RECORD_BYTES)
-        ]
-    if body != b"".join(sorted(candidates, reverse=True)[:TOP_K]):
+    bodies = [build_records(stamp) for stamp in stamps]
+    if body != greatest_records(bodies, TOP_K):
         return (
             "the body does not hold the highest records of its parts",
             coverage,
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
@@ -8,10 +8,34 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-
+from random import Random
+
+from kumquatchute_standins.platform.fleet.answer_faults import AnswerDraw
+from kumquatchute_standins.platform.fleet.answer_faults import AnswerPlan
+from kumquatchute_standins.platform.fleet.answer_faults import BrokenOff
+from kumquatchute_standins.platform.fleet.answer_faults import CopyPart
+from kumquatchute_standins.platform.fleet.answer_faults import draw_plan
+from kumquatchute_standins.platform.fleet.answer_faults import Ending
+from kumquatchute_standins.platform.fleet.answer_faults import Failure
+from kumquatchute_standins.platform.fleet.answer_faults import Head
+from kumquatchute_standins.platform.fleet.answer_faults import Refusal
+from kumquatchute_standins.platform.fleet.answer_faults import SecondCopy
+from kumquatchute_standins.platform.fleet.answer_faults import Success
+from kumquatchute_standins.platform.fleet.answer_faults import TwoDigests
+from kumquatchute_standins.platform.fleet.answer_faults import UntilClosed
+from kumquatchute_standins.platform.fleet.answer_faults import WholeDelivery
+from kumquatchute_standins.platform.fleet.answer_faults import WholeHead
+from kumquatchute_standins.platform.fleet.answer_faults import WithoutDigest
+from kumquatchute_standins.platform.fleet.answer_faults import WithoutId
+from kumquatchute_standins.platform.fleet.answer_writer import AnswerWriter
+from kumquatchute_standins.platform.fleet.answers import Answer
+from kumquatchute_standins.platform.fleet.answers import build_records
+from kumquatchute_standins.platform.fleet.answers import build_stamp
+from kumquatchute_standins.platform.fleet.answers import ID_HEADER
+from kumquatchute_standins.platform.fleet.answers import SentAnswer
+from kumquatchute_standins.platform.fleet.answers import STAMP_HEADER
 from kumquatchute_standins.platform.searcher_entries import make_searcher_entry
 
-RECORD_BYTES = 16
 ENDLESS_CHUNK = b"x" * 65_536
 # Number of parallel requests that a searcher announces.
 SLOTS = 2
@@ -40,6 +64,8 @@
     :param leaving: all responses state that the searcher leaves
     :param endless: responses have no end
     :param body_bytes: length of the bodies; None for records
+    :param answers: draws faults for single answers; it goes before
+        ``second_answer``, ``cut_answer`` and ``fail``
     """
 
     delay_s: float = 0.0
@@ -52,6 +78,7 @@
     leaving: bool = False
     endless: EndlessPart | None = None
     body_bytes: int | None = None
+    answers: AnswerDraw | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,16 +106,21 @@
         data_centre: str,
         port: int,
         on_arrival: Callable[[Arrival], None],
+        on_answer: Callable[[SentAnswer], None],
     ) -> None:
         """Create a searcher.
 
         :param on_arrival: called with each request that runs
+        :param on_answer: called with each answer before it is sent, except
+            those to requests for other searchers
         """
         self.name = name
         self.service = service
         self.data_centre = data_centre
         self.port = port
-        self.faults = SearcherFaults()
+        self._faults = SearcherFaults()
+        self._rng = Random(name)
+        self._answer_count = 0
         self.service_time_s = 0.003
         # Requests a second that the responses state as the limit, if any.
         self.limit_per_s: float | None = None
@@ -96,9 +128,22 @@
         # Times of the event loop at which requests were refused, in seconds.
         self.refused_at: list[float] = []
         self._on_arrival = on_arrival
+        self._on_answer = on_answer
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
+    @property
+    def faults(self) -> SearcherFaults:
+        """Faults that are in force."""
+        return self._faults
+
+    @faults.setter
+    def faults(self, faults: SearcherFaults) -> None:
+        """Set the faults, and start the series of drawn answers anew."""
+        self._faults = faults
+        if faults.answers is not None:
+            self._rng.seed(f"{faults.answers.seed}/{self.name}")
+
     def build_entry(self, state: str = "ready", cold_ms: int = 0) -> dict:
         """Return the entry with which the searcher registers.
 
@@ -132,93 +177,158 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        answers = AnswerWriter(writer, self._rng)
         try:
-            while await self._answer_request(reader, writer):
+            while await self._answer_request(reader, writer, answers):
                 pass
         except (OSError, asyncio.IncompleteReadError):
             # The client has disconnected.
             pass
         finally:
             self._writers.discard(writer)
-            writer.close()
+            answers.close()
 
     async def _answer_request(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        answers: AnswerWriter,
     ) -> bool:
         """Answer a request and return whether the connection stays open."""
-        head = await reader.readuntil(b"\r\n\r\n")
-        lines = head.decode("latin-1").split("\r\n")
-        headers = {}
-        for line in lines[1:]:
-            key, _, value = line.partition(":")
-            headers[key.lower()] = value.strip()
-        await reader.readexactly(int(headers.get("content-length", "0")))
+        target, headers = await _read_request(reader)
         expected = headers.get("x-expect-instance", self.name)
         request_id = headers.get("x-request-id", "")
-        now = asyncio.get_running_loop().time()
-        common_headers = {"Server-Leaving": "1"} if self.faults.leaving else {}
         if expected != self.name:
-            await _send_response(
-                writer, 421, {"X-Instance-Id": self.name}, b""
-            )
-            return True
-        if self.faults.shed:
+            return await answers.send(self._build_mismatch(request_id))
+        faults = self.faults
+        plan = self._choose_plan(faults, request_id)
+        now = asyncio.get_running_loop().time()
+        if isinstance(plan.kind, Refusal):
             self.refused_at.append(now)
-            refusal_headers = {"X-Not-Executed": "1", **common_headers}
-            if self.faults.retry_after is not None:
-                refusal_headers["Retry-After"] = self.faults.retry_after
-            await _send_response(writer, 503, refusal_headers, b"")
-            return True
-        target = lines[0].split(" ")[1]
-        self._on_arrival(
-            Arrival(self.name, self.service, request_id, target, now)
+        else:
+            self._on_arrival(
+                Arrival(self.name, self.service, request_id, target, now)
+            )
+            await asyncio.sleep(self.service_time_s + faults.delay_s)
+            if faults.endless is not None:
+                await _send_without_end(writer, faults.endless)
+                return False
+            if faults.silent:
+                await reader.read()
+                return False
+        answer = self._build_answer(faults, plan, request_id)
+        self._record(answer, plan, request_id)
+        return await answers.send(answer, plan.delivery)
+
+    def _choose_plan(
+        self, faults: SearcherFaults, request_id: str
+    ) -> AnswerPlan:
+        """Return how a request is answered; health checks have no id."""
+        if faults.shed:
+            return AnswerPlan(Refusal())
+        if faults.answers is not None and request_id:
+            return draw_plan(faults.answers, self._rng)
+        delivery = WholeDelivery()
+        if faults.cut_answer:
+            delivery = BrokenOff()
+        elif faults.second_answer:
+            delivery = SecondCopy(CopyPart.WHOLE, 0.002, 0.002)
+        kind = Failure() if faults.fail else Success()
+        return AnswerPlan(kind, WholeHead(), delivery)
+
+    def _build_mismatch(self, request_id: str) -> Answer:
+        """Return the answer to a request for another searcher."""
+        headers = (("X-Instance-Id", self.name), (ID_HEADER, request_id))
+        return Answer(421, headers, b"")
+
+    def _build_answer(
+        self, faults: SearcherFaults, plan: AnswerPlan, request_id: str
+    ) -> Answer:
+        self._answer_count += 1
+        stamp = build_stamp(
+            self.service, request_id, self.name, self._answer_count
         )
-        await asyncio.sleep(self.service_time_s + self.faults.delay_s)
-        if self.faults.endless is not None:
-            await _send_without_end(writer, self.faults.endless)
-            return False
-        if self.faults.silent:
-            await reader.read()
-            return False
-        status = 500 if self.faults.fail else 200
-        response_headers = {
-            **common_headers,
-            "X-Request-Id": request_id,
-            "X-Server-Stamp": build_stamp(self.service, request_id),
-            "X-Server-Load": "1,0,2",
-        }
+        body = build_records(stamp)
+        if faults.body_bytes is not None:
+            body = b"x" * faults.body_bytes
+        headers = [("Server-Leaving", "1")] if faults.leaving else []
+        match plan.kind:
+            case Success():
+                status = 200
+            case Failure(status=status):
+                pass
+            case Refusal():
+                headers.append(("X-Not-Executed", "1"))
+                if faults.retry_after is not None:
+                    headers.append(("Retry-After", faults.retry_after))
+                headers += _identify(plan.head, request_id, None)
+                return Answer(503, tuple(headers), b"")
+        headers += _identify(plan.head, request_id, stamp)
+        headers.append(("X-Server-Load", "1,0,2"))
         if self.limit_per_s is not None:
-            response_headers["Server-Limit"] = str(self.limit_per_s)
-        body = build_records(self.service, request_id)
-        if self.faults.body_bytes is not None:
-            body = b"x" * self.faults.body_bytes
-        if self.faults.cut_answer:
-            await _send_response(
-                writer, status, response_headers, body, cut=True
+            headers.append(("Server-Limit", str(self.limit_per_s)))
+        return Answer(status, tuple(headers), body)
+
+    def _record(
+        self, answer: Answer, plan: AnswerPlan, request_id: str
+    ) -> None:
+        """Report an answer that is about to be sent."""
+        digests = [v for k, v in answer.headers if k == STAMP_HEADER]
+        is_whole = plan.delivery != UntilClosed(Ending.RESET) and not (
+            isinstance(plan.delivery, BrokenOff)
+        )
+        self._on_answer(
+            SentAnswer(
+                self.name,
+                self.service,
+                request_id,
+                answer.status,
+                digests[0] if len(digests) == 1 else None,
+                answer.body,
+                is_good=isinstance(plan.kind, Success)
+                and len(digests) == 1
+                and is_whole,
+                has_run=not isinstance(plan.kind, Refusal),
+                sent_at=asyncio.get_running_loop().time(),
             )
-            return False
-        await _send_response(writer, status, response_headers, body)
-        if self.faults.second_answer:
-            await asyncio.sleep(0.002)
-            await _send_response(writer, status, response_headers, body)
-        return True
+        )
 
 
-def build_stamp(service: str, request_id: str) -> str:
-    """Return the stamp of a service's response to a request.
+async def _read_request(
+    reader: asyncio.StreamReader,
+) -> tuple[str, dict[str, str]]:
+    """Read a request.
 
-    It shows callers whether a response belongs to another request.
+    :returns: its target, and its headers with names in lower case
     """
-    return f"{service}.{request_id}"
-
-
-def build_records(service: str, request_id: str) -> bytes:
-    """Return the records of a service, which are the same for all requests."""
-    number = int.from_bytes(service.encode()[-4:], "big")
-    return b"".join(
-        ((number * 7919 + step * 104729) % 2**32).to_bytes(RECORD_BYTES, "big")
-        for step in range(8)
-    )
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        key, _, value = line.partition(":")
+        headers[key.lower()] = value.strip()
+    await reader.readexactly(int(headers.get("content-length", "0")))
+    return lines[0].split(" ")[1], headers
+
+
+def _identify(
+    head: Head, request_id: str, stamp: str | None
+) -> list[tuple[str, str]]:
+    """Return the headers that state whose answer it is.
+
+    :param stamp: digest of the answer, None if it has none
+    """
+    echo = [(ID_HEADER, request_id)]
+    digest = [] if stamp is None else [(STAMP_HEADER, stamp)]
+    match head:
+        case WholeHead():
+            return echo + digest
+        case WithoutId():
+            return digest
+        case WithoutDigest():
+            return echo
+        case TwoDigests():
+            return echo + digest + [(STAMP_HEADER, f"{stamp}.other")]
 
 
 async def _send_without_end(
@@ -240,17 +350,3 @@
     while True:
         writer.write(repeated)
         await writer.drain()
-
-
-async def _send_response(
-    writer: asyncio.StreamWriter,
-    status: int,
-    headers: dict[str, str],
-    body: bytes,
-    cut: bool = False,
-) -> None:
-    lines = [f"HTTP/1.1 {status} Text", f"Content-Length: {len(body)}"]
-    lines += [f"{key}: {value}" for key, value in headers.items()]
-    sent_body = body[: len(body) // 2] if cut else body
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + sent_body)
-    await writer.drain()
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
@@ -11,6 +11,8 @@
 
 import aiohttp
 
+from kumquatchute_standins.platform.fleet.answers import AnswerLedger
+from kumquatchute_standins.platform.fleet.manifest import build_manifest
 from kumquatchute_standins.platform.fleet.proxy import Proxy
 from kumquatchute_standins.platform.fleet.searcher import Arrival
 from kumquatchute_standins.platform.fleet.searcher import EmulatedSearcher
@@ -18,14 +20,12 @@
 from kumquatchute_standins.platform.table import Table
 from kumquatchute_standins.ports import allocate_ports
 
-HOST = "search.example"
 # Dozens of nodes may start at once and share the cores of one machine.
 READY_TIMEOUT_S = 60.0
 # Smaller than the number of searchers of large sites, so that nodes have to
 # read more than one page.
 PAGE_OBJECTS = 50
 PORTS_PER_NODE = 4
-TOP_K = 5
 
 SETTINGS_TEMPLATE = """\
 node = "{name}"
@@ -108,6 +108,7 @@
         self.folder = folder
         self._source = source
         self.arrivals: list[Arrival] = []
+        self.ledger = AnswerLedger()
         self.manifest_version = 1
         self.shard_names = tuple(f"sh{n:02d}" for n in range(shape.shards))
         port_count = len(shape.nodes) * PORTS_PER_NODE + 1
@@ -303,6 +304,7 @@
                 data_centre,
                 next(ports),
                 self.arrivals.append,
+                self.ledger.add,
             )
             for number, (service, data_centre) in enumerate(places)
         ]
@@ -357,59 +359,6 @@
         return nodes
 
 
-def build_manifest(version: int, shards: tuple[str, ...]) -> dict:
-    """Return a manifest with two single-service routes and a query route.
-
-    :param shards: services of the query route; without any, it is left out
-    """
-    common_fields = {
-        "host": HOST,
-        "timeoutMs": 2000,
-        "targetLatencyMs": 300,
-        "priority": 1,
-        "maxAttempts": 2,
-    }
-    query_route = {
-        **common_fields,
-        "name": "notes",
-        "pathPrefix": "/notes/",
-        "routeType": "idempotent",
-        "gather": list(shards),
-        "topK": TOP_K,
-        "minCoverage": 0.5,
-    }
-    return {
-        "version": version,
-        "routes": [
-            *([query_route] if shards else []),
-            {
-                **common_fields,
-                "name": "fetch",
-                "pathPrefix": "/fetch/",
-                "routeType": "idempotent",
-                "service": "single",
-            },
-            {
-                **common_fields,
-                "name": "submit",
-                "pathPrefix": "/submit/",
-                "routeType": "non_idempotent",
-                "service": "single",
-            },
-        ],
-        "services": [
-            {"name": name, "maxConns": 26, "warmupS": 3.0, "coldPerS": 0.0}
-            for name in (*shards, "single")
-        ],
-        "limits": {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 262144,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-    }
-
-
 def _python_path(source: Path | None) -> dict[str, str]:
     """Return the environment variable with which nodes run another checkout.
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_memory_of_nodes.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_memory_of_nodes.py
@@ -9,9 +9,9 @@
 from kumquatchute_standins.platform.fleet.callers import CallResult
 from kumquatchute_standins.platform.fleet.callers import send_at_rate
 from kumquatchute_standins.platform.fleet.callers import send_request
+from kumquatchute_standins.platform.fleet.manifest import HOST
 from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
 from kumquatchute_standins.platform.fleet.site import FleetSite
-from kumquatchute_standins.platform.fleet.site import HOST
 from kumquatchute_standins.platform.fleet.site import Shape
 from kumquatchute_standins.platform.fleet.tests.scenarios import run_on_site
 
