Test what callers get while searchers' answers are faulty

- Copies without an id are separate faults for successes, failures and refusals.
- The fault copy-joined cuts a copy inside the reason phrase, or inside the value of the first header, so that the next status line is read as the rest of that line.
Answers have a first header that states nothing for this.
- The case prints the ids of requests that waited after a searcher's answer.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answer_faults.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answer_faults.py
@@ -6,14 +6,22 @@
 
 # A second copy comes up to this much later than the answer.
 MAX_COPY_DELAY_S = 0.2
+# Short enough that the next request on the connection is often pending.
+JOINED_COPY_DELAY_S = 0.02
 
 
 class CopyPart(Enum):
-    """How much of a second copy is sent, or how."""
+    """How much of a second copy is sent, or how.
+
+    After a cut in the reason phrase or in the value of the first header, the
+    status line of the next answer can be read as the rest of that line.
+    """
 
     WHOLE = "whole"
     TWO_PIECES = "two pieces"
     IN_STATUS_LINE = "cut inside the status line"
+    IN_REASON = "cut inside the reason phrase"
+    IN_FIRST_HEADER = "cut inside the value of the first header"
     IN_HEAD = "cut inside the head"
     IN_BODY = "cut inside the body"
 
@@ -126,11 +134,9 @@
 
 ANSWER_FAULTS = {
     "no-id": (AnswerPlan(head=WithoutId()),),
-    "no-id-copy": (
-        *_copies(Success(), WithoutId()),
-        *_copies(Failure(), WithoutId()),
-        *_copies(Refusal(), WithoutId()),
-    ),
+    "no-id-copy": _copies(Success(), WithoutId()),
+    "no-id-failure-copy": _copies(Failure(), WithoutId()),
+    "no-id-refusal-copy": _copies(Refusal(), WithoutId()),
     "no-digest": (AnswerPlan(head=WithoutDigest()),),
     "two-digests": (AnswerPlan(head=TwoDigests()),),
     "copy": (AnswerPlan(delivery=SecondCopy()),),
@@ -143,6 +149,13 @@
             CopyPart.IN_BODY,
         )
     ),
+    "copy-joined": tuple(
+        AnswerPlan(
+            kind, delivery=SecondCopy(part, max_delay_s=JOINED_COPY_DELAY_S)
+        )
+        for kind in (Success(), Failure(), Refusal())
+        for part in (CopyPart.IN_REASON, CopyPart.IN_FIRST_HEADER)
+    ),
     "failure-copy": _copies(Failure()),
     "refusal-copy": _copies(Refusal()),
     "until-close": (AnswerPlan(delivery=UntilClosed(Ending.CLOSED)),),
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answer_writer.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answer_writer.py
@@ -123,6 +123,7 @@
         head = answer.encode_head()
         whole = head + answer.body
         status_end = head.index(b"\r\n")
+        first_end = head.index(b"\r\n", status_end + 2)
         match part:
             case CopyPart.WHOLE:
                 return (whole,)
@@ -130,13 +131,18 @@
                 cut = self._rng.randrange(1, len(whole))
                 return (whole[:cut], whole[cut:])
             case CopyPart.IN_STATUS_LINE:
-                return (whole[: self._rng.randrange(1, status_end)],)
+                cut = self._rng.randrange(1, status_end)
+            case CopyPart.IN_REASON:
+                start = head.rindex(b" ", 0, status_end) + 1
+                cut = self._rng.randrange(start, status_end)
+            case CopyPart.IN_FIRST_HEADER:
+                start = head.index(b": ", status_end) + 2
+                cut = self._rng.randrange(start, first_end)
             case CopyPart.IN_HEAD:
                 cut = self._rng.randrange(status_end, len(head))
-                return (whole[:cut],)
             case CopyPart.IN_BODY:
                 cut = self._rng.randrange(len(head), len(whole) + 1)
-                return (whole[:cut],)
+        return (whole[:cut],)
 
 
 def reset_connection(writer: asyncio.StreamWriter) -> None:
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answers.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answers.py
@@ -25,8 +25,12 @@
     body: bytes
 
     def encode_head(self, states_length: bool = True) -> bytes:
-        """Return the head of the answer, with the blank line at its end."""
-        lines = [f"HTTP/1.1 {self.status} Text"]
+        """Return the head of the answer, with the blank line at its end.
+
+        A header that states nothing comes first, so that a copy which is cut
+        in it can be joined with the next answer without a contradiction.
+        """
+        lines = [f"HTTP/1.1 {self.status} Text", "Server: searcher"]
         if states_length:
             lines.append(f"Content-Length: {len(self.body)}")
         lines += [f"{name}: {value}" for name, value in self.headers]
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/__main__.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/__main__.py
@@ -71,6 +71,12 @@
                 f"  {item.request_id}: {item.wrong.value}: {item.detail}",
                 file=sys.stderr,
             )
+        for wait in result.waits:
+            print(
+                f"  {wait.request_id}: waited {wait.wait_s:.3f} s after an"
+                " answer of a searcher",
+                file=sys.stderr,
+            )
     sys.exit(1 if is_wrong else 0)
 
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/checks.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/checks.py
@@ -52,6 +52,14 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Time between a searcher's answer and the response, in seconds."""
+
+    request_id: str
+    wait_s: float
+
+
 def check_record(
     record: CallRecord, ledger: AnswerLedger, shards: tuple[str, ...]
 ) -> Violation | None:
@@ -102,8 +110,8 @@
 
 def find_waits(
     records: Iterable[CallRecord], ledger: AnswerLedger
-) -> list[float]:
-    """Return waits for the time limit after a searcher's answer, in seconds.
+) -> list[Wait]:
+    """Return waits for the time limit after a searcher's answer.
 
     Only requests that may run once count, which no other attempt can serve.
     Requests of one batch are answered in turn, so that pipelining adds waits.
@@ -115,7 +123,7 @@
             continue
         wait_s = record.ended_at - sent[0].sent_at
         if wait_s > LATE_S and record.ended_at - record.sent_at > LIMIT_S:
-            waits.append(wait_s)
+            waits.append(Wait(record.call.request_id, wait_s))
     return waits
 
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/run.py
@@ -14,6 +14,7 @@
 from kumquatchute_standins.platform.fleet.relay.checks import check_runs
 from kumquatchute_standins.platform.fleet.relay.checks import find_waits
 from kumquatchute_standins.platform.fleet.relay.checks import Violation
+from kumquatchute_standins.platform.fleet.relay.checks import Wait
 from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
 from kumquatchute_standins.platform.fleet.site import FleetSite
 from kumquatchute_standins.platform.fleet.site import Shape
@@ -38,6 +39,7 @@
     :param suspends: whether nodes are suspended, one after another
     :param has_replicas: whether services have three searchers, not one
     :param source: checkout whose nodes run, None for this one
+    :param nodes: data centre of each node
     """
 
     seed: int
@@ -48,6 +50,7 @@
     suspends: bool = False
     has_replicas: bool = True
     source: Path | None = None
+    nodes: tuple[str, ...] = NODES
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,8 +59,7 @@
 
     :param successes: responses with a status 2xx, also wrong ones
     :param right: successes that are not wrong
-    :param waits: waits for the time limit after a searcher's answer, in
-        seconds
+    :param waits: waits for the time limit after a searcher's answer
     """
 
     case: Case
@@ -65,19 +67,20 @@
     successes: int
     right: int
     violations: tuple[Violation, ...]
-    waits: tuple[float, ...]
+    waits: tuple[Wait, ...]
 
     def format_line(self) -> str:
         """Return the line that is printed for the run."""
         wrong = Counter(item.wrong.name.lower() for item in self.violations)
         kinds = " ".join(f"{k}={n}" for k, n in sorted(wrong.items()))
+        longest_s = max((wait.wait_s for wait in self.waits), default=0.0)
         return (
             f"seed={self.case.seed} faults={','.join(self.case.faults)}"
             f" requests={self.requests} successes={self.successes}"
             f" wrong={len(self.violations)} ({kinds or 'none'})"
             f" served={self.right / max(1, self.requests):.3f}"
             f" waited={len(self.waits)}"
-            f" longest_wait_ms={1000 * max(self.waits, default=0):.0f}"
+            f" longest_wait_ms={1000 * longest_s:.0f}"
         )
 
 
@@ -91,7 +94,7 @@
 
 async def _run(case: Case, folder: Path) -> CaseResult:
     places = ("a", "b", "c") if case.has_replicas else ("a",)
-    shape = Shape(NODES, SHARDS, places, places)
+    shape = Shape(case.nodes, SHARDS, places, places)
     async with FleetSite(shape, folder, case.source) as site:
         draw = AnswerDraw(case.faults, case.share, case.seed)
         for searcher in site.searchers:
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/tests/test_checks.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/tests/test_checks.py
@@ -17,6 +17,7 @@
 from kumquatchute_standins.platform.fleet.relay.checks import check_record
 from kumquatchute_standins.platform.fleet.relay.checks import check_runs
 from kumquatchute_standins.platform.fleet.relay.checks import find_waits
+from kumquatchute_standins.platform.fleet.relay.checks import Wait
 from kumquatchute_standins.platform.fleet.relay.checks import Wrong
 from kumquatchute_standins.platform.fleet.relay.client import Call
 from kumquatchute_standins.platform.fleet.relay.client import Response
@@ -134,5 +135,7 @@
     ledger = AnswerLedger()
     ledger.add(GOOD)
     record = relay(SUBMIT_PATH, 504, {}, b"")
-    assert find_waits([replace(record, ended_at=2.0)], ledger) == [2.0]
+    assert find_waits([replace(record, ended_at=2.0)], ledger) == [
+        Wait("q1", 2.0)
+    ]
     assert not find_waits([record], ledger)
