Take a response only if something shows whose it is

A searcher sent its answer twice, the second time late, and neither copy named its request; the next request on the connection got the copy, with its digest and body.

Cause: a response was taken unless it named another request. Now it is taken if it names the pending request, or, on a connection that has carried nothing else, if it names none. Anything else ends the exchange at once and closes the connection; the request may have run. After a response that names no request the connection closes, so that a searcher that never names one is served from with a connection for each request. A connection carries an id only once, and a request without an id only if it is its first, so that a copy of a refusal cannot be taken for the response to a retry.

--- a/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
@@ -282,7 +282,10 @@
         self, searcher: RegisteredSearcher, message: SendAttempt, now: float
     ) -> Connection | None:
         connection = self._pool.take_idle(
-            searcher.name, message.at_most_once, now
+            searcher.name,
+            message.outgoing.request_id,
+            message.at_most_once,
+            now,
         )
         if connection is not None:
             return connection
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections import deque
 import contextlib
 from dataclasses import dataclass
 
@@ -20,7 +21,10 @@
 from kumquatchuted.responses.matching import match_response
 from kumquatchuted.responses.messages import Exchange
 from kumquatchuted.responses.messages import Foreign
+from kumquatchuted.responses.messages import MatchedAsFirst
+from kumquatchuted.responses.messages import MatchedById
 from kumquatchuted.responses.messages import ResponseHead
+from kumquatchuted.responses.messages import Unproven
 from kumquatchuted.responses.messages import Verdict
 
 # The parser reports a change of protocol, which no request asks for, by an
@@ -32,6 +36,9 @@
 MAX_RECEIVED_BYTES = 16 * 1024 * 1024
 # A header takes about 200 bytes besides its text.
 MAX_HEADERS = 256
+# A copy of a response comes within seconds, so that only the last requests of
+# a connection need to be told apart.
+MAX_CARRIED_IDS = 64
 # Bytes of heads, trailers and framing: a fixed part, and for each byte of a
 # body more than the six of a chunk that holds a single byte.
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -72,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseSkipped:
-    """A response to another request was received and is not used.
+    """A response was received that is not used for the pending request.
 
     :param request_id: the pending request
     """
@@ -80,7 +87,7 @@
     connection: "Connection"
     request_id: bytes
     status: int
-    verdict: Foreign
+    verdict: Foreign | Unproven
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,10 +180,12 @@
         self._max_received_bytes = max_received_bytes
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
-        self._last_request_id = b""
+        self._carried_ids: deque[bytes] = deque(maxlen=MAX_CARRIED_IDS)
         self._must_close = False
         self._complete_response: RawResponse | None = None
         self._complete_verdict: Verdict | None = None
+        # Why the exchange ends unless a proven response has arrived as well.
+        self._unproven: Unproven | None = None
         self._received_bytes = 0
         self._received_body_bytes = 0
         self._reset_response()
@@ -190,8 +199,9 @@
     def send(self, exchange: Exchange, data: bytes) -> None:
         """Send a request; its response is posted as ``ResponseReceived``."""
         self._exchange = exchange
-        self._last_request_id = exchange.request_id
+        self._carried_ids.append(exchange.request_id)
         self._received_bytes = self._received_body_bytes = 0
+        self._unproven = None
         self.is_unused = False
         self._transport.write(data)
 
@@ -211,6 +221,16 @@
             self._transport.is_closing()
         )
 
+    def can_carry(self, request_id: bytes) -> bool:
+        """Return whether the response to a request could be recognised.
+
+        A copy of an earlier response to the same id could not be told from it,
+        and a response to a request without an id names none.
+        """
+        return self.is_unused or (
+            bool(request_id) and request_id not in self._carried_ids
+        )
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes and post a response that they complete.
 
@@ -220,17 +240,22 @@
         if self._exchange is None:
             self._read_unexpected(data)
             return
+        failure = None
         try:
             self._parser.feed_data(data)
         except PARSER_ERRORS as exc:
             self._must_close = True
-            if self._complete_response is None:
-                self.fail(f"invalid HTTP response: {exc}")
-                return
+            failure = f"invalid HTTP response: {exc}"
         self._received_bytes += len(data)
-        if self._complete_response is None and self._is_too_long():
-            self.fail("response too long")
-            return
+        if self._complete_response is None:
+            if self._unproven is not None:
+                self._reject_response(self._unproven)
+                return
+            if failure is None and self._is_too_long():
+                failure = "response too long"
+            if failure is not None:
+                self.fail(failure)
+                return
         self._on_received(self, len(data))
         self._post_response()
 
@@ -273,12 +298,15 @@
         notices = self._codec.decode_notices(self._status, self._headers)
         if notices:
             self._post(NoticesReceived(self, notices))
-        if self._exchange is not None and self._status >= 200:
+        is_final = self._status >= 200 and self._complete_response is None
+        if self._exchange is not None and is_final:
             self._verdict = match_response(
                 self._exchange,
                 ResponseHead(self._status, self._reason, tuple(self._headers)),
                 self._codec.id_header,
             )
+            if isinstance(self._verdict, Unproven):
+                self._unproven = self._verdict
         if self._exchange is not None and not self._exchange.expects_body:
             # The parser would take the next response for the body that these
             # headers announce.
@@ -302,27 +330,20 @@
         self._store_response()
 
     def _store_response(self) -> None:
-        """Keep the response if it belongs to the pending request.
-
-        A response without the id header counts as one that does.
-        """
+        """Keep the response if it is the one to the pending request."""
         if self._complete_response is not None or self._exchange is None:
             return
-        echoed_ids = [
-            v for k, v in self._headers if k == self._codec.id_header
-        ]
-        if any(value != self._exchange.request_id for value in echoed_ids):
-            # A delayed response to an earlier request; the response to the
-            # pending one may follow.
-            self._post(
-                ResponseSkipped(
-                    self,
-                    self._exchange.request_id,
-                    self._status,
-                    Foreign(echoed_ids[0]),
-                )
-            )
-            return
+        match self._verdict:
+            case MatchedById():
+                pass
+            case MatchedAsFirst():
+                self._must_close = True
+            case Foreign() as foreign:
+                # That to the pending request may follow.
+                self._post_skipped(foreign)
+                return
+            case Unproven():
+                return
         self._complete_response = RawResponse(
             self._status, tuple(self._headers), bytes(self._body)
         )
@@ -356,7 +377,8 @@
     def _read_unexpected(self, data: bytes) -> None:
         """Read the head of an unexpected response and close the connection."""
         self._must_close = True
-        self._post(UnexpectedBytes(self, len(data), self._last_request_id))
+        last_request_id = self._carried_ids[-1] if self._carried_ids else b""
+        self._post(UnexpectedBytes(self, len(data), last_request_id))
         # Bytes that are no response state nothing.
         with contextlib.suppress(*PARSER_ERRORS):
             self._parser.feed_data(data)
@@ -371,6 +393,19 @@
             self._post(ConnectionClosed(self, exchange.key, reason))
         self._transport.abort()
 
+    def _reject_response(self, verdict: Unproven) -> None:
+        """End the exchange, because its response cannot be recognised."""
+        self.has_responded = True
+        self._post_skipped(verdict)
+        self.fail(verdict.reason)
+
+    def _post_skipped(self, verdict: Foreign | Unproven) -> None:
+        self._post(
+            ResponseSkipped(
+                self, self._exchange.request_id, self._status, verdict
+            )
+        )
+
     def _is_too_long(self) -> bool:
         """Return whether more has arrived for the request than is allowed."""
         body_bytes = self._received_body_bytes
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
@@ -58,23 +58,30 @@
         self._connect_tasks: set[asyncio.Task] = set()
 
     def take_idle(
-        self, searcher: str, at_most_once: bool, now: float
+        self, searcher: str, request_id: bytes, at_most_once: bool, now: float
     ) -> Connection | None:
         """Return the most recently used idle connection, or None.
 
-        Connections that were idle for too long are closed.
+        Connections that were idle for too long are closed. Those on which the
+        response could not be recognised stay idle.
 
         :param at_most_once: whether the request may run only once, which
             allows only ``AT_MOST_ONCE_IDLE_S``
         :param now: monotonic time in seconds
         """
         idle = self._idle.get(searcher, [])
-        while idle:
+        unsuitable: list[Connection] = []
+        chosen = None
+        while idle and chosen is None:
             connection = idle.pop()
-            if _is_usable(connection, at_most_once, now):
-                return connection
-            connection.close()
-        return None
+            if not _is_usable(connection, at_most_once, now):
+                connection.close()
+            elif not connection.can_carry(request_id):
+                unsuitable.append(connection)
+            else:
+                chosen = connection
+        idle.extend(reversed(unsuitable))
+        return chosen
 
     def open(
         self, searcher: RegisteredSearcher, max_connections: int
@@ -88,6 +95,7 @@
         """
         connections = self._connections.setdefault(searcher.name, [])
         if len(connections) >= max_connections:
+            self._close_idle_to_make_room(searcher.name)
             return None
         if self.is_at_total_limit():
             self._close_longest_idle()
@@ -151,6 +159,12 @@
             self._idle[connection.searcher].remove(connection)
             connection.close()
 
+    def _close_idle_to_make_room(self, searcher: str) -> None:
+        """Close an idle connection that the waiting request cannot use."""
+        idle = self._idle.get(searcher)
+        if idle:
+            idle.pop(0).close()
+
     def close_idle(self, searcher: str) -> None:
         """Close the idle connections to a process that has ended."""
         for connection in self._idle.pop(searcher, []):
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/response_log.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/response_log.py
@@ -64,15 +64,14 @@
         )
 
     def on_skipped(self, event: ResponseSkipped) -> None:
-        """Log a response to another request than the pending one."""
-        self._count_event("responses", "foreign")
+        """Log a response that the pending request does not get."""
+        self._count_event("responses", _name_verdict(event.verdict))
         log.info(
-            "response skipped searcher={} conn={} status={} names={}"
-            " request={}",
+            "response skipped searcher={} conn={} status={} {} request={}",
             event.connection.searcher,
             event.connection.number,
             event.status,
-            event.verdict.request_id.decode("latin-1"),
+            _describe_cause(event.verdict),
             event.request_id.decode("latin-1"),
         )
 
@@ -98,3 +97,11 @@
             return "foreign"
         case Unproven():
             return "unproven"
+
+
+def _describe_cause(verdict: Foreign | Unproven) -> str:
+    match verdict:
+        case Foreign(request_id=request_id):
+            return f"names={request_id.decode('latin-1')}"
+        case Unproven(reason=reason):
+            return f"cause={reason}"
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
@@ -6,8 +6,10 @@
 from kumquatchuted.notices.messages import ProcessId
 from kumquatchuted.platform.searcher_codec import decode_notices
 from kumquatchuted.platform.searcher_codec import REQUEST_ID_HEADER
+from kumquatchuted.responses.matching import NO_ID
 from kumquatchuted.responses.messages import Exchange
 from kumquatchuted.responses.messages import Foreign
+from kumquatchuted.responses.messages import Unproven
 from kumquatchuted.searchers.connection import Connection
 from kumquatchuted.searchers.connection import ConnectionClosed
 from kumquatchuted.searchers.connection import HeadCodec
@@ -50,10 +52,11 @@
 
 
 def awaiting_response(
-    expects_body: bool = True,
+    expects_body: bool = True, is_first: bool = True
 ) -> tuple[Connection, list, FakeTransport]:
     """Return a connection on which request r1 was sent.
 
+    :param is_first: whether it has carried no other request
     :returns: the connection, the events that it posts from now on, and its
         transport
     """
@@ -63,7 +66,7 @@
     )
     transport = FakeTransport()
     connection.connection_made(transport)
-    connection.send(Exchange("k", b"r1", expects_body, True), b"GET")
+    connection.send(Exchange("k", b"r1", expects_body, is_first), b"GET")
     posted.clear()
     return connection, posted, transport
 
@@ -112,6 +115,52 @@
     assert transport.closing
 
 
+WITHOUT_ID = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
+
+
+def test_response_without_an_id_ends_the_exchange() -> None:
+    """Guards against a late copy that is taken for the next answer.
+
+    Nothing shows whose the response is on a connection that was used before.
+    """
+    connection, posted, transport = awaiting_response(is_first=False)
+    connection.data_received(WITHOUT_ID)
+    assert posted == [
+        ResponseSkipped(connection, b"r1", 200, Unproven(NO_ID)),
+        ConnectionClosed(connection, "k", NO_ID),
+    ]
+    assert transport.closing
+
+
+def test_searcher_that_names_no_request_is_served_from() -> None:
+    """Guards against searchers that are never used.
+
+    The first response of a connection can only be that to its first request.
+    A second request on it could get a copy, so that it must close.
+    """
+    connection, posted, transport = awaiting_response()
+    connection.data_received(WITHOUT_ID)
+    assert posted[0].response.body == b"abc"
+    assert not posted[0].is_reusable
+    assert transport.closing
+
+
+def test_response_that_names_its_request_is_taken_after_one_without() -> None:
+    """Guards against an answer that is lost because of a copy before it."""
+    connection, posted, _ = awaiting_response(is_first=False)
+    connection.data_received(WITHOUT_ID + PARTIAL_RESPONSE + b"def")
+    assert posted[-1].response.body == b"def"
+
+
+def test_connection_does_not_carry_an_id_twice() -> None:
+    """Guards against a copy that names a later request as well."""
+    connection, _, _ = awaiting_response()
+    connection.data_received(PARTIAL_RESPONSE + b"abc")
+    assert connection.can_carry(b"r2")
+    assert not connection.can_carry(b"r1")
+    assert not connection.can_carry(b"")
+
+
 def test_bytes_on_an_idle_connection_close_it() -> None:
     """Guards against a surplus response that the next request would get.
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/virtual_network.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/virtual_network.py
@@ -72,8 +72,14 @@
             self._port, headers[b"x-request-id"], self._loop.time()
         )
         self._loop.received.append(req)
-        reply = self._loop.respond(req)
-        if reply is not None:
+        match self._loop.respond(req):
+            case None:
+                replies = ()
+            case Reply() as reply:
+                replies = (reply,)
+            case replies:
+                pass
+        for reply in replies:
             self._loop.call_later(reply.delay_s, self._deliver, reply.data)
 
     def close(self) -> None:
@@ -99,13 +105,14 @@
 
     def __init__(
         self,
-        respond: Callable[[ReceivedRequest], Reply | None],
+        respond: Callable[[ReceivedRequest], Reply | tuple[Reply, ...] | None],
         connect_s: float = 0.0,
         rng: random.Random | None = None,
     ) -> None:
         """Create the loop.
 
-        :param respond: returns the reply to a request, None for silence
+        :param respond: returns what a searcher sends for a request, None for
+            silence
         :param connect_s: time until a connection is open, in seconds
         :param rng: draws the order of the callbacks that are ready at the same
             time; None keeps the order of asyncio
