Relay a success only with the digest of its body

Cause: three places decided what a response is good for. The one that ends the attempts knew that such a success settles nothing; the one that answers the caller relayed it like the failure of a searcher; the one that rates searchers counted it as a success.

responses/quality.py decides now for first attempts, retries, hedges, parts, and parts that are gathered for another node. A success that cannot be verified is answered with 502, which does not state that the request has not run, and counts against its searcher. That holds too for an encoded body, which is not the searcher's by the platform's protocol, and for a digest that is ambiguous or would be several ones in the list of a query.

--- a/packages/kumquatchuted/src/kumquatchuted/forward/decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/decide.py
@@ -5,6 +5,8 @@
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.errors import TemporaryFailure
+from kumquatchuted.responses.quality import assess
+from kumquatchuted.responses.quality import Unusable
 from kumquatchuted.retries.progress import AttemptProgress
 from kumquatchuted.retries.progress import NOT_RUN_STATUSES
 from kumquatchuted.searchers.messages import NoResponse
@@ -59,12 +61,19 @@
 
 
 def _relay(response: SearcherResponse, at_most_once: bool) -> ForwardResult:
-    """Return the response, or a failure if its status would mislead.
+    """Return the response, or a failure if it would mislead the caller.
 
-    To callers, a status of ``NOT_RUN_STATUSES`` means that the request did
-    not run and can be repeated. An at-most-once request that a searcher ran
-    must therefore not be answered with one.
+    Callers cannot verify a success without the digest of its body. To them, a
+    status of ``NOT_RUN_STATUSES`` means that the request did not run and can
+    be repeated. An at-most-once request that a searcher ran must therefore not
+    be answered with one.
     """
+    match assess(response):
+        case Unusable(reason=reason):
+            reason = f"a searcher answered {reason}"
+            return ForwardResult(
+                None, Failure(ErrorKind.TARGET_FAILED, reason)
+            )
     if at_most_once and response.status in NOT_RUN_STATUSES:
         reason = f"a searcher ran the request and answered {response.status}"
         return ForwardResult(None, Failure(ErrorKind.TARGET_FAILED, reason))
--- a/packages/kumquatchuted/src/kumquatchuted/forward/tests/test_forward_decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/tests/test_forward_decide.py
@@ -43,6 +43,30 @@
     assert not result.failure.not_run
 
 
+@pytest.mark.parametrize("at_most_once", [True, False])
+@pytest.mark.parametrize(
+    "unusable",
+    [
+        SearcherResponse(200, b"", b"body", False, False, ()),
+        SearcherResponse(204, b"", b"", False, False, ()),
+        SearcherResponse(200, b"d", b"zip", False, False, (), "", True),
+    ],
+    ids=["no digest", "no content", "encoded"],
+)
+def test_success_that_cannot_be_verified_is_not_relayed(
+    unusable: SearcherResponse, at_most_once: bool
+) -> None:
+    """Guards against a success without the digest of its body.
+
+    The request has run, so that the failure must not state that it has not.
+    """
+    progress = AttemptProgress(failure=unusable, may_have_run=True)
+    result = conclude(progress, at_most_once)
+    assert result.response is None
+    assert result.failure.kind is ErrorKind.TARGET_FAILED
+    assert not result.failure.not_run
+
+
 def test_request_that_no_searcher_ran_is_marked_not_run() -> None:
     """Guards against a failure that keeps callers from trying again.
 
--- a/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
@@ -15,6 +15,8 @@
 
 REQUEST_ID_HEADER = b"x-request-id"
 STAMP_HEADER = b"x-server-stamp"
+STAMP_PATTERN = re.compile(rb"[!-+\--~]+")
+ENCODING_HEADER = b"content-encoding"
 NOT_EXECUTED_HEADER = b"x-not-executed"
 LOAD_HEADER = b"x-server-load"
 # Requests per second that the searcher takes from all nodes together.
@@ -78,27 +80,43 @@
 
     :param source: searcher and connection that it came from
     """
-    stamp = b""
+    stamps = set()
     not_executed = raw.status == MISDIRECTED_STATUS
+    is_encoded = False
     forwarded = []
     for name, value in raw.headers:
         if name == STAMP_HEADER:
-            stamp = value
+            stamps.add(value)
         elif name == NOT_EXECUTED_HEADER:
             not_executed = True
+        elif name == ENCODING_HEADER:
+            is_encoded = value.strip().lower() not in (b"", b"identity")
         if name not in DROPPED_RESPONSE_HEADERS:
             forwarded.append((name, value))
     return SearcherResponse(
         status=raw.status,
-        stamp=stamp,
+        stamp=_select_stamp(stamps),
         body=raw.body,
         not_executed=not_executed,
         wrong_process=raw.status == MISDIRECTED_STATUS,
         headers=tuple(forwarded),
         source=source,
+        is_encoded=is_encoded,
     )
 
 
+def _select_stamp(stamps: set[bytes]) -> bytes:
+    """Return the digest of a response, empty if it has no or several ones.
+
+    A digest with a comma would be several ones in the list that the caller of
+    a query gets.
+    """
+    if len(stamps) != 1:
+        return b""
+    (stamp,) = stamps
+    return stamp if STAMP_PATTERN.fullmatch(stamp) else b""
+
+
 def decode_load(
     raw: RawResponse, now: float, own_attempts: int
 ) -> LoadReport | None:
--- a/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_callers.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_callers.py
@@ -1,5 +1,7 @@
 """Tests of the codecs for callers' and searchers' requests."""
 
+import pytest
+
 from kumquatchuted.platform.callers import decode_request
 from kumquatchuted.platform.callers import encode_coverage
 from kumquatchuted.platform.searcher_codec import decode_keep_alive_timeout
@@ -89,6 +91,33 @@
     assert stamped.headers == ((b"x-server-stamp", b"s"),)
 
 
+@pytest.mark.parametrize(
+    "values",
+    [(), (b"",), (b"a, b",), (b"a,b",), (b"a b",), (b"a", b"b"), (b"\xff",)],
+    ids=repr,
+)
+def test_value_that_is_no_single_digest_counts_as_none(
+    values: tuple[bytes, ...],
+) -> None:
+    """Guards against a list of digests that holds one of no shard.
+
+    The caller of a query gets the digests of all parts in one list, and a
+    response with two digests shows not which one is that of its body.
+    """
+    headers = tuple((b"x-server-stamp", value) for value in values)
+    assert decode_response(make_raw_response(200, *headers)).stamp == b""
+
+
+@pytest.mark.parametrize(
+    ("value", "is_encoded"),
+    [(b"gzip", True), (b"br, gzip", True), (b"identity", False)],
+)
+def test_encoded_body_is_recognised(value: bytes, is_encoded: bool) -> None:
+    """Guards against an encoded body that passes for the searcher's."""
+    raw = make_raw_response(200, (b"content-encoding", value))
+    assert decode_response(raw).is_encoded == is_encoded
+
+
 def test_load_and_keep_alive_headers_tolerate_any_text() -> None:
     """Guards against an exception caused by a searcher's header.
 
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/quality.py
@@ -0,0 +1,60 @@
+"""Decides what the response to a request is good for.
+
+Each path uses it: first attempts, retries, hedges, parts of a query, and those
+that are gathered for another node.
+"""
+
+from dataclasses import dataclass
+
+from kumquatchuted.searchers.messages import SearcherResponse
+
+
+@dataclass(frozen=True, slots=True)
+class Good:
+    """A success that callers can verify."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """A redirection or client error: an answer, but no part of a query."""
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The searcher failed; the request may have run."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unusable:
+    """A success that callers could not verify; the request may have run.
+
+    :param reason: cause for the log and for the caller
+    """
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The searcher states that it did not run the request."""
+
+
+Quality = Good | Rejection | Failed | Unusable | NotRun
+
+NO_DIGEST = "a success without a digest"
+ENCODED_BODY = "a success with an encoded body"
+
+
+def assess(response: SearcherResponse) -> Quality:
+    """Return what a complete response is good for."""
+    if response.not_executed:
+        return NotRun()
+    if response.status >= 500:
+        return Failed()
+    if response.status >= 300:
+        return Rejection()
+    if not response.stamp:
+        return Unusable(NO_DIGEST)
+    if response.is_encoded:
+        return Unusable(ENCODED_BODY)
+    return Good()
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/tests/test_quality.py
@@ -0,0 +1,40 @@
+"""What responses are good for."""
+
+import pytest
+
+from kumquatchuted.responses.quality import assess
+from kumquatchuted.responses.quality import ENCODED_BODY
+from kumquatchuted.responses.quality import Failed
+from kumquatchuted.responses.quality import Good
+from kumquatchuted.responses.quality import NO_DIGEST
+from kumquatchuted.responses.quality import NotRun
+from kumquatchuted.responses.quality import Rejection
+from kumquatchuted.responses.quality import Unusable
+from kumquatchuted.searchers.messages import SearcherResponse
+
+
+@pytest.mark.parametrize("status", range(200, 600))
+def test_only_a_success_with_a_digest_is_good(status: int) -> None:
+    """Guards against a failure, or an unverified body, that is relayed."""
+
+    def response(stamp: bytes, **fields: bool) -> SearcherResponse:
+        return SearcherResponse(
+            status,
+            stamp,
+            b"body",
+            fields.get("not_executed", False),
+            False,
+            (),
+            is_encoded=fields.get("is_encoded", False),
+        )
+
+    assert assess(response(b"d", not_executed=True)) == NotRun()
+    if status < 300:
+        assert assess(response(b"d")) == Good()
+        assert assess(response(b"")) == Unusable(NO_DIGEST)
+        assert assess(response(b"d", is_encoded=True)) == Unusable(
+            ENCODED_BODY
+        )
+        return
+    expected = Rejection() if status < 500 else Failed()
+    assert assess(response(b"d")) == assess(response(b"")) == expected
--- a/packages/kumquatchuted/src/kumquatchuted/retries/progress.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/progress.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
+from kumquatchuted.responses.quality import assess
+from kumquatchuted.responses.quality import Good
+from kumquatchuted.responses.quality import Rejection
 from kumquatchuted.searchers.messages import NoResponse
 from kumquatchuted.searchers.messages import Refusal
 from kumquatchuted.searchers.messages import SearcherResponse
@@ -205,16 +208,15 @@
 def _is_final(response: SearcherResponse, policy: RetryPolicy) -> bool:
     """Return whether the response settles the attempts.
 
-    A success without a digest does not settle them, because callers could not
-    verify it. Neither do server errors and responses of searchers that did not
-    run the request. Redirections and client errors are relayed to the caller
-    of a single searcher, but cannot be merged.
+    A redirection or client error is relayed to the caller of a single
+    searcher, but cannot be merged.
     """
-    if policy.parts_only:
-        return response.is_part()
-    if response.not_executed or response.status >= 500:
-        return False
-    return bool(response.stamp) or response.status >= 300
+    match assess(response):
+        case Good():
+            return True
+        case Rejection():
+            return not policy.parts_only
+    return False
 
 
 def _preferred_failure(
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
@@ -11,6 +11,9 @@
 from kumquatchuted.membership.messages import RegisteredSearcher
 from kumquatchuted.platform import searcher_codec as codec
 from kumquatchuted.responses.messages import Exchange
+from kumquatchuted.responses.quality import assess
+from kumquatchuted.responses.quality import Good
+from kumquatchuted.responses.quality import Rejection
 from kumquatchuted.retries.service_budgets import ServiceBudgets
 from kumquatchuted.searchers.balancer import LoadBalancer
 from kumquatchuted.searchers.connect import OUT_OF_DESCRIPTORS
@@ -477,6 +480,9 @@
     sends one instead of a part would otherwise look like the fastest of its
     shard and get most of the queries.
     """
-    if message.is_shard_query:
-        return response.is_part()
-    return response.status < 500 and not response.not_executed
+    match assess(response):
+        case Good():
+            return True
+        case Rejection():
+            return not message.is_shard_query
+    return False
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
@@ -132,13 +132,14 @@
 class SearcherResponse:
     """A complete response of a searcher.
 
-    :param stamp: digest of the response; empty if it has none
+    :param stamp: digest of the response; empty if it has none that is valid
     :param not_executed: whether the searcher states that it did not run the
         request
     :param wrong_process: whether another process than the chosen searcher
         responded, which now has its address
     :param headers: headers that callers receive, names in lower case
     :param source: searcher and connection, or node, that it came from
+    :param is_encoded: whether the body is not the one that the digest is of
     """
 
     status: int
@@ -148,14 +149,7 @@
     wrong_process: bool
     headers: tuple[tuple[bytes, bytes], ...]
     source: str = ""
-
-    def is_part(self) -> bool:
-        """Return whether it may be merged into the answer to a query.
-
-        A failure is not a part, even if it has a digest.
-        """
-        is_success = 200 <= self.status < 300 and not self.not_executed
-        return is_success and bool(self.stamp)
+    is_encoded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/response_log.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/response_log.py
@@ -9,6 +9,8 @@
 from kumquatchuted.responses.messages import MatchedById
 from kumquatchuted.responses.messages import Unproven
 from kumquatchuted.responses.messages import Verdict
+from kumquatchuted.responses.quality import assess
+from kumquatchuted.responses.quality import Unusable
 from kumquatchuted.searchers.connection import ResponseReceived
 from kumquatchuted.searchers.connection import ResponseSkipped
 from kumquatchuted.searchers.connection import UnexpectedBytes
@@ -42,12 +44,12 @@
         is_matched_by_id = isinstance(event.verdict, MatchedById)
         if not is_matched_by_id:
             self._count_event("responses", _name_verdict(event.verdict))
-        lacks_digest = 200 <= response.status < 300 and not response.stamp
-        if lacks_digest:
-            self._count_event("responses", "no_digest")
+        is_unusable = isinstance(assess(response), Unusable)
+        if is_unusable:
+            self._count_event("responses", "unusable")
         if (
             is_matched_by_id
-            and not lacks_digest
+            and not is_unusable
             and message.is_shard_query
             and not message.is_retry
         ):
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_copies.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_copies.py
@@ -220,6 +220,20 @@
     assert play.seconds[b"r1"] < 0.1
 
 
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_success_without_a_digest_is_not_relayed(idempotent: bool) -> None:
+    """Guards against a success that the caller cannot verify.
+
+    A searcher leaves the digest out of one answer in ten. A request that may
+    be repeated is sent to another one.
+    """
+    answers = [Answer(has_digest=number % 10 != 0) for number in range(90)]
+    remaining = iter(answers)
+    play = Play(lambda: next(remaining), 3, idempotent)
+    play.play(60, 0.05).check(not idempotent)
+    assert served(play) == (60 if idempotent else 54)
+
+
 def test_copy_of_a_refusal_is_not_the_refusal_of_the_retry() -> None:
     """Guards against a request that is refused as not run and runs.
 
@@ -248,7 +262,7 @@
             return Answer()
         return Answer(
             names_request=rng.random() < 0.5,
-            has_digest=True,
+            has_digest=rng.random() < 0.9,
             status=rng.choice([200, 200, 200, 500, 503]),
             copy_after_s=rng.choice([None, 0.0, rng.uniform(0.0, 0.2)]),
             copy_share=rng.choice([1.0, rng.random()]),
