Skip interim responses to HEAD requests

The caller of a HEAD request got a status 100 or 103 of the searcher as its answer, and no other response followed.

Cause: a response without a body was complete with its head, whatever its status. Interim responses are skipped there as well.

--- a/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
@@ -327,8 +327,9 @@
         notices = self._codec.decode_notices(self._status, self._headers)
         if notices:
             self._post(NoticesReceived(self, notices))
-        is_final = self._status >= 200 and self._complete_response is None
-        if self._exchange is not None and is_final:
+        if self._exchange is None or self._status < 200:
+            return
+        if self._complete_response is None:
             self._verdict = match_response(
                 self._exchange,
                 ResponseHead(self._status, self._reason, tuple(self._headers)),
@@ -336,7 +337,7 @@
             )
             if isinstance(self._verdict, Unproven):
                 self._unproven = self._verdict
-        if self._exchange is not None and not self._exchange.expects_body:
+        if not self._exchange.expects_body:
             # The parser would take the next response for the body that these
             # headers announce.
             self._must_close = True
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
@@ -323,6 +323,19 @@
     assert posted[0].response.status == 200
 
 
+@pytest.mark.parametrize("status", [b"100 Continue", b"103 Early Hints"])
+def test_interim_response_to_head_is_skipped(status: bytes) -> None:
+    """Guards against an interim response as the answer to a HEAD request.
+
+    The caller would get no other response and wait until its time limit.
+    """
+    connection, posted, _ = awaiting_response(expects_body=False)
+    connection.data_received(b"HTTP/1.1 " + status + b"\r\n\r\n")
+    assert not posted
+    connection.data_received(PARTIAL_RESPONSE)
+    assert posted[0].response.status == 200
+
+
 def test_response_to_head_has_no_body() -> None:
     """Guards against waiting for a body that never comes.
 
