End an exchange whose response cannot follow any more

A request waited until its time limit although its exchange had visibly ended: after a response to another request that ends its connection, after one on a connection that has carried nothing else, after one with an empty id, and after its own one if whitespace follows the id.

Cause: a response that did not name the pending request was skipped in each of these cases. Whitespace does not count now, an empty id names no request, and the other two end the exchange at once; the request may have run. A connection on which a response was skipped carries no other request, because its searcher has shown that it responds twice.

--- a/packages/kumquatchuted/src/kumquatchuted/responses/matching.py
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/matching.py
@@ -16,6 +16,7 @@
 from kumquatchuted.responses.messages import Verdict
 
 NO_ID = "the response names no request"
+OTHER_ID = "the first response of the connection names another request"
 SEVERAL_IDS = "the response names several requests"
 
 
@@ -30,12 +31,17 @@
         holds_status_line(value) for _, value in head.headers
     ):
         return Unproven(JOINED_RESPONSES)
-    named_ids = {value for name, value in head.headers if name == id_header}
+    # The parser leaves the whitespace that may follow a value.
+    named_ids = {
+        value.strip() for name, value in head.headers if name == id_header
+    }
+    named_ids.discard(b"")
     if len(named_ids) > 1:
         return Unproven(SEVERAL_IDS)
     if named_ids and exchange.request_id:
         (named_id,) = named_ids
-        if named_id == exchange.request_id:
+        if named_id == exchange.request_id.strip():
             return MatchedById()
-        return Foreign(named_id)
+        # What names another request on a new connection is no late response.
+        return Unproven(OTHER_ID) if exchange.is_first else Foreign(named_id)
     return MatchedAsFirst() if exchange.is_first else Unproven(NO_ID)
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
@@ -41,6 +41,8 @@
 MAX_RECEIVED_BYTES = 16 * 1024 * 1024
 # A header takes about 200 bytes besides its text.
 MAX_HEADERS = 256
+# Cause of an exchange that ends because no other response can follow.
+NO_OTHER_RESPONSE = "no response follows that to another request"
 # A copy of a response comes within seconds, so that only the last requests of
 # a connection need to be told apart.
 MAX_CARRIED_IDS = 64
@@ -369,8 +371,7 @@
             case MatchedAsFirst():
                 self._must_close = True
             case Foreign() as foreign:
-                # That to the pending request may follow.
-                self._post_skipped(foreign)
+                self._skip_response(foreign)
                 return
             case Unproven():
                 return
@@ -444,6 +445,19 @@
         self._post_skipped(verdict)
         self.fail(verdict.reason)
 
+    def _skip_response(self, verdict: Foreign) -> None:
+        """Wait for another response, unless none can follow.
+
+        The searcher has shown that it responds twice, so that the connection
+        carries no other request.
+        """
+        is_last = not self._parser.should_keep_alive()
+        if is_last or not self._exchange.expects_body:
+            self._unproven = Unproven(NO_OTHER_RESPONSE)
+            return
+        self._must_close = True
+        self._post_skipped(verdict)
+
     def _post_skipped(self, verdict: Foreign | Unproven) -> None:
         self._post(
             ResponseSkipped(
