Answer 502 if a searcher sends a status that HTTP does not have

The connection of a caller closed without an answer, although its request had been passed on: a searcher sent a status of 600 or more, which the listener cannot encode.

Cause: any status from 500 on was relayed as the failure of a searcher. Such a response is unusable now, like a success without a digest.

Evidence: test_success_that_cannot_be_verified_is_not_relayed[status] and test_status_that_no_caller_can_read_is_unusable fail without the change.

--- a/packages/kumquatchuted/src/kumquatchuted/forward/tests/test_forward_decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/tests/test_forward_decide.py
@@ -50,8 +50,9 @@
         SearcherResponse(200, b"", b"body", False, False, ()),
         SearcherResponse(204, b"", b"", False, False, ()),
         SearcherResponse(200, b"d", b"zip", False, False, (), "", True),
+        SearcherResponse(600, b"d", b"body", False, False, ()),
     ],
-    ids=["no digest", "no content", "encoded"],
+    ids=["no digest", "no content", "encoded", "status"],
 )
 def test_success_that_cannot_be_verified_is_not_relayed(
     unusable: SearcherResponse, at_most_once: bool
--- a/packages/kumquatchuted/src/kumquatchuted/responses/quality.py
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/quality.py
@@ -26,7 +26,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Unusable:
-    """A success that callers could not verify; the request may have run.
+    """An answer that callers could not verify or read.
+
+    The request may have run.
 
     :param reason: cause for the log and for the caller
     """
@@ -43,12 +45,16 @@
 
 NO_DIGEST = "a success without a digest"
 ENCODED_BODY = "a success with an encoded body"
+INVALID_STATUS = "a status that HTTP does not have"
+MAX_STATUS = 599
 
 
 def assess(response: SearcherResponse) -> Quality:
     """Return what a complete response is good for."""
     if response.not_executed:
         return NotRun()
+    if not 200 <= response.status <= MAX_STATUS:
+        return Unusable(INVALID_STATUS)
     if response.status >= 500:
         return Failed()
     if response.status >= 300:
--- a/packages/kumquatchuted/src/kumquatchuted/responses/tests/test_quality.py
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/tests/test_quality.py
@@ -6,6 +6,7 @@
 from kumquatchuted.responses.quality import ENCODED_BODY
 from kumquatchuted.responses.quality import Failed
 from kumquatchuted.responses.quality import Good
+from kumquatchuted.responses.quality import INVALID_STATUS
 from kumquatchuted.responses.quality import NO_DIGEST
 from kumquatchuted.responses.quality import NotRun
 from kumquatchuted.responses.quality import Rejection
@@ -38,3 +39,14 @@
         return
     expected = Rejection() if status < 500 else Failed()
     assert assess(response(b"d")) == assess(response(b"")) == expected
+
+
+@pytest.mark.parametrize("status", [103, 600, 999])
+def test_status_that_no_caller_can_read_is_unusable(status: int) -> None:
+    """Guards against a connection that closes without an answer.
+
+    The listener cannot encode such a status, and a caller waits on after one
+    below 200.
+    """
+    response = SearcherResponse(status, b"d", b"body", False, False, ())
+    assert assess(response) == Unusable(INVALID_STATUS)
