Check that a partial response belongs to its query

A node that sent its response to a partial query twice, the second time late, gave the next query the digests and records of the one before.

Cause: a partial response names shards by position only, and nothing else ties it to the request on a kept connection. Each request carries a number that its node uses once, and each response to it, of whatever status, repeats it. A response with another number or none counts as lost and closes its connection.

--- a/packages/kumquatchuted/src/kumquatchuted/front/app.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/app.py
@@ -26,6 +26,7 @@
 from kumquatchuted.memory.byte_budget import Reservation
 from kumquatchuted.partials.codec import decode_partial_request
 from kumquatchuted.partials.codec import encode_partial
+from kumquatchuted.partials.codec import NUMBER_HEADER
 from kumquatchuted.partials.messages import PartialQueryRequest
 from kumquatchuted.platform.callers import CallerRequest
 from kumquatchuted.platform.callers import decode_request
@@ -250,6 +251,9 @@
 
         A failure is reported by its status alone, without a body.
         """
+        number = req.get_header(NUMBER_HEADER)
+        if number is not None:
+            resp.set_header(NUMBER_HEADER, number)
         self._post(RequestStarted())
         try:
             await self._run(req, resp)
--- a/packages/kumquatchuted/src/kumquatchuted/partials/codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/codec.py
@@ -7,6 +7,10 @@
 from kumquatchuted.partials.messages import PartialQueryRequest
 from kumquatchuted.partials.messages import PartialQueryResponse
 
+# Header of the request and of each response to it. It shows that a response is
+# the one to the request: a number that a node uses once.
+NUMBER_HEADER = "X-Partial-Query"
+
 _request_decoder = msgspec.msgpack.Decoder(PartialQueryRequest)
 _response_decoder = msgspec.msgpack.Decoder(PartialQueryResponse)
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 import random
 
 import aiohttp
@@ -19,6 +20,7 @@
 from kumquatchuted.notices.messages import ProcessesLeaving
 from kumquatchuted.partials.codec import decode_partial_response
 from kumquatchuted.partials.codec import encode_partial
+from kumquatchuted.partials.codec import NUMBER_HEADER
 from kumquatchuted.partials.messages import AbandonPartialQuery
 from kumquatchuted.partials.messages import names_shards_once
 from kumquatchuted.partials.messages import PartialQueryAssigned
@@ -77,6 +79,7 @@
         self._states: dict[str, NodeState] = {}
         self._query_tasks: dict[object, asyncio.Task] = {}
         self._session: aiohttp.ClientSession | None = None
+        self._numbers = itertools.count(1)
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -179,10 +182,17 @@
             sock_connect=CONNECT_TIMEOUT_S,
         )
         url = f"http://{node.address}/partials"
+        number = str(next(self._numbers))
+        headers = {NUMBER_HEADER: number}
         try:
             async with self._get_session().post(
-                url, data=body, timeout=timeout
+                url, data=body, headers=headers, timeout=timeout
             ) as http_response:
+                if http_response.headers.get(NUMBER_HEADER) != number:
+                    http_response.close()
+                    return NoResponse(
+                        "the response belongs to another query", was_sent=True
+                    )
                 status = http_response.status
                 with self._messages.reserve() as reservation:
                     data = await reservation.read(
