--- a/packages/kumquatchuted/src/kumquatchuted/responses/joined.py
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/joined.py
@@ -5,6 +5,7 @@
 id of the other; inside its body, a body with the head of another response.
 """
 
+import functools
 import re
 
 JOINED_RESPONSES = "the response is joined with another one"
@@ -12,14 +13,37 @@
 PROTOCOL_NAME = b"HTTP/1."
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?![0-9])")
 # One byte less than the shortest status line.
-STATUS_LINE_OVERLAP = 11
+OVERLAP = 11
 # Distance that a head in a body may have from the end of what was searched.
 MAX_HEAD_BYTES = 8 * 1024
 
 
+def may_be_joined(data: bytes, overlap: bytes, is_start: bool) -> bool:
+    """Return whether bytes of a connection may hold a second status line.
+
+    Hardly any response does, so that the other checks are for few.
+
+    :param overlap: end of the bytes before
+    :param is_start: whether the bytes begin with a status line of their own
+    """
+    if is_start:
+        return data.find(PROTOCOL_NAME, 1) >= 0
+    return PROTOCOL_NAME in data or PROTOCOL_NAME in overlap + data[:OVERLAP]
+
+
+def is_head_joined(reason: bytes, headers: list[tuple[bytes, bytes]]) -> bool:
+    """Return whether a head holds the status line of another response.
+
+    :param reason: reason phrase of its status line
+    """
+    return holds_status_line(reason) or any(
+        holds_status_line(value) for _, value in headers
+    )
+
+
 def holds_status_line(text: bytes) -> bool:
-    """Return whether a part of a head contains a status line."""
-    return PROTOCOL_NAME in text and STATUS_LINE.search(text) is not None
+    """Return whether a part of a head or a trailer holds a status line."""
+    return STATUS_LINE.search(text) is not None
 
 
 def count_status_lines(data: bytes) -> int:
@@ -27,6 +51,15 @@
     return sum(1 for _ in STATUS_LINE.finditer(data))
 
 
+@functools.cache
+def _head_pattern(id_header: bytes, digest_header: bytes) -> re.Pattern[bytes]:
+    names = b"|".join(re.escape(name) for name in (id_header, digest_header))
+    return re.compile(
+        STATUS_LINE.pattern + rb"[^\r\n]*\r\n"
+        rb"(?:[^\r\n]+\r\n){0,64}?(?i:" + names + rb"):"
+    )
+
+
 class BodySearch:
     """Searches a body that still grows for the head of another response."""
 
@@ -38,13 +71,7 @@
         :param id_header: header that names the request
         :param digest_header: header with the digest of the response
         """
-        names = b"|".join(
-            re.escape(name) for name in (id_header, digest_header)
-        )
-        self._head = re.compile(
-            STATUS_LINE.pattern + rb"[^\r\n]*\r\n"
-            rb"(?:[^\r\n]+\r\n){0,64}?(?i:" + names + rb"):"
-        )
+        self._head = _head_pattern(id_header, digest_header)
         self._searched = 0
 
     def reset(self) -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/responses/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/messages.py
@@ -1,4 +1,4 @@
-"""Responses as they are read, and the verdicts on them."""
+"""Requests that await a response, and the verdicts on responses."""
 
 from dataclasses import dataclass
 
@@ -20,18 +20,6 @@
     is_first: bool
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
-    """The head of a response; header names in lower case.
-
-    :param reason: reason phrase of the status line
-    """
-
-    status: int
-    reason: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-
-
 @dataclass(frozen=True, slots=True)
 class MatchedById:
     """The response names the pending request."""
--- a/packages/kumquatchuted/src/kumquatchuted/responses/tests/test_matching.py
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/tests/test_matching.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from kumquatchuted.responses.joined import JOINED_RESPONSES
 from kumquatchuted.responses.matching import match_response
 from kumquatchuted.responses.matching import NO_ID
 from kumquatchuted.responses.matching import OTHER_ID
@@ -11,27 +10,15 @@
 from kumquatchuted.responses.messages import Foreign
 from kumquatchuted.responses.messages import MatchedAsFirst
 from kumquatchuted.responses.messages import MatchedById
-from kumquatchuted.responses.messages import ResponseHead
 from kumquatchuted.responses.messages import Unproven
 from kumquatchuted.responses.messages import Verdict
 
-ID_HEADER = b"x-request-id"
-
 
 def match(
-    *ids: bytes,
-    request_id: bytes = b"r1",
-    is_first: bool = False,
-    reason: bytes = b"OK",
-    headers: tuple[tuple[bytes, bytes], ...] = (),
+    *ids: bytes, request_id: bytes = b"r1", is_first: bool = False
 ) -> Verdict:
     """Return the verdict on a response that names some requests."""
-    named = tuple((ID_HEADER, value) for value in ids)
-    return match_response(
-        Exchange("k", request_id, True, is_first),
-        ResponseHead(200, reason, headers + named),
-        ID_HEADER,
-    )
+    return match_response(Exchange("k", request_id, True, is_first), ids)
 
 
 @pytest.mark.parametrize("is_first", [False, True])
@@ -88,28 +75,3 @@
 def test_response_that_names_two_requests_proves_nothing() -> None:
     """Guards against joined heads in which one id is that of the request."""
     assert match(b"r0", b"r1") == Unproven(SEVERAL_IDS)
-
-
-@pytest.mark.parametrize("is_first", [False, True])
-@pytest.mark.parametrize(
-    "head",
-    [
-        {"reason": b"OHTTP/1.1 500 Failed"},
-        {"headers": ((b"x-a", b"1HTTP/1.1 200 OK"),)},
-        {"headers": ((b"x-server-stamp", b"s0HTTP/1.0 404 Gone"),)},
-    ],
-    ids=["status line", "header", "digest"],
-)
-def test_joined_heads_prove_nothing(head: dict, is_first: bool) -> None:
-    """Guards against the status of one response with the id of another.
-
-    A copy that breaks off inside its head is joined with the next response.
-    """
-    verdict = match(b"r1", is_first=is_first, **head)
-    assert verdict == Unproven(JOINED_RESPONSES)
-
-
-def test_header_with_a_protocol_name_is_no_joined_head() -> None:
-    """Guards against responses that are lost because of a proxy's header."""
-    via = ((b"via", b"HTTP/1.1 cache-7, HTTP/1.1 2001"),)
-    assert match(b"r1", headers=via) == MatchedById()
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
@@ -21,14 +21,15 @@
 from kumquatchuted.responses.joined import BodySearch
 from kumquatchuted.responses.joined import count_status_lines
 from kumquatchuted.responses.joined import holds_status_line
+from kumquatchuted.responses.joined import is_head_joined
 from kumquatchuted.responses.joined import JOINED_RESPONSES
-from kumquatchuted.responses.joined import STATUS_LINE_OVERLAP
+from kumquatchuted.responses.joined import may_be_joined
+from kumquatchuted.responses.joined import OVERLAP
 from kumquatchuted.responses.matching import match_response
 from kumquatchuted.responses.messages import Exchange
 from kumquatchuted.responses.messages import Foreign
 from kumquatchuted.responses.messages import MatchedAsFirst
 from kumquatchuted.responses.messages import MatchedById
-from kumquatchuted.responses.messages import ResponseHead
 from kumquatchuted.responses.messages import Unproven
 from kumquatchuted.responses.messages import Verdict
 
@@ -201,6 +202,8 @@
         self._parsed_heads = 0
         # End of the bytes before, in which a status line may begin.
         self._overlap = b""
+        # Whether the bytes of the exchange hold more than one status line.
+        self._may_be_joined = False
         self._body_search = BodySearch(codec.id_header, codec.digest_header)
         self._reset_response()
         self._parser = HttpResponseParser(self)
@@ -217,6 +220,8 @@
         self._received_bytes = self._received_body_bytes = 0
         self._unproven = None
         self._overlap = b""
+        self._may_be_joined = False
+        self._body_search.reset()
         self.is_unused = False
         self._transport.write(data)
 
@@ -256,6 +261,10 @@
             self._read_unexpected(data)
             return
         failure = None
+        if not self._may_be_joined:
+            self._may_be_joined = may_be_joined(
+                data, self._overlap, is_start=not self._received_bytes
+            )
         self._parsed_heads = 0
         try:
             self._parser.feed_data(data)
@@ -263,8 +272,8 @@
             self._must_close = True
             failure = f"invalid HTTP response: {exc}"
             self._check_end(data)
-        self._overlap = data[-STATUS_LINE_OVERLAP:]
-        if self._body_search.finds_head(self._body):
+        self._overlap = data[-OVERLAP:]
+        if self._may_be_joined and self._body_search.finds_head(self._body):
             self._unproven = Unproven(JOINED_RESPONSES)
         self._received_bytes += len(data)
         if self._complete_response is None:
@@ -332,11 +341,7 @@
         if self._exchange is None or self._status < 200:
             return
         if self._complete_response is None:
-            self._verdict = match_response(
-                self._exchange,
-                ResponseHead(self._status, self._reason, tuple(self._headers)),
-                self._codec.id_header,
-            )
+            self._verdict = self._judge_head()
             if isinstance(self._verdict, Unproven):
                 self._unproven = self._verdict
         if not self._exchange.expects_body:
@@ -345,6 +350,14 @@
             self._must_close = True
             self._store_response()
 
+    def _judge_head(self) -> Verdict:
+        if self._may_be_joined and is_head_joined(self._reason, self._headers):
+            return Unproven(JOINED_RESPONSES)
+        id_header = self._codec.id_header
+        return match_response(
+            self._exchange, [v for k, v in self._headers if k == id_header]
+        )
+
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body (callback of the parser)."""
         self._body += body
@@ -375,7 +388,7 @@
                 return
             case Unproven():
                 return
-        if self._body_search.finds_head(self._body):
+        if self._may_be_joined and self._body_search.finds_head(self._body):
             self._unproven = Unproven(JOINED_RESPONSES)
             return
         self._complete_response = RawResponse(
@@ -488,7 +501,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         # Parts of a body can be single bytes, which take more as objects.
         self._body = bytearray()
-        self._body_search.reset()
+        if self._may_be_joined:
+            self._body_search.reset()
         self._status = 0
         self._reason = b""
         self._verdict: Verdict | None = None
