Read responses in a class of their own

ResponseReader now owns the parser and returns Incomplete, Complete or Broken, and the connection posts what follows from it. An interim response whose head is joined with the next one ends the exchange as well (test_interim_response_that_breaks_off_does_not_hide_the_next).

--- a/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
@@ -8,10 +8,10 @@
 from kumquatchuted.notices.messages import MalformedNotice
 from kumquatchuted.notices.messages import Notice
 from kumquatchuted.notices.messages import PauseRequested
-from kumquatchuted.searchers.connection import RawResponse
 from kumquatchuted.searchers.load import LoadReport
 from kumquatchuted.searchers.messages import OutgoingRequest
 from kumquatchuted.searchers.messages import SearcherResponse
+from kumquatchuted.searchers.response_reader import RawResponse
 
 REQUEST_ID_HEADER = b"x-request-id"
 STAMP_HEADER = b"x-server-stamp"
--- a/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_callers.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_callers.py
@@ -8,8 +8,8 @@
 from kumquatchuted.platform.searcher_codec import decode_load
 from kumquatchuted.platform.searcher_codec import decode_response
 from kumquatchuted.platform.searcher_codec import encode_attempt
-from kumquatchuted.searchers.connection import RawResponse
 from kumquatchuted.searchers.messages import SearcherResponse
+from kumquatchuted.searchers.response_reader import RawResponse
 
 HEADERS = [
     (b"host", b"a.example"),
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
@@ -10,8 +10,8 @@
 from kumquatchuted.notices.messages import process_of
 from kumquatchuted.searchers.connect import connect
 from kumquatchuted.searchers.connection import Connection
-from kumquatchuted.searchers.connection import HeadCodec
-from kumquatchuted.searchers.connection import MAX_RECEIVED_BYTES
+from kumquatchuted.searchers.response_reader import HeadCodec
+from kumquatchuted.searchers.response_reader import MAX_RECEIVED_BYTES
 
 log = Logger("searchers")
 
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/response_reader.py
@@ -0,0 +1,364 @@
+"""Reads the responses to the requests of a connection, with httptools.
+
+The parser reports whatever it can read as a response. The reader decides which
+of that is the response to the pending request.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from httptools import HttpParserError
+from httptools import HttpParserUpgrade
+from httptools import HttpResponseParser
+
+from kumquatchuted.notices.messages import Notice
+from kumquatchuted.responses.joined import BodySearch
+from kumquatchuted.responses.joined import count_status_lines
+from kumquatchuted.responses.joined import holds_status_line
+from kumquatchuted.responses.joined import is_head_joined
+from kumquatchuted.responses.joined import JOINED_RESPONSES
+from kumquatchuted.responses.joined import may_be_joined
+from kumquatchuted.responses.joined import OVERLAP
+from kumquatchuted.responses.matching import match_response
+from kumquatchuted.responses.messages import Exchange
+from kumquatchuted.responses.messages import Foreign
+from kumquatchuted.responses.messages import MatchedAsFirst
+from kumquatchuted.responses.messages import Unproven
+from kumquatchuted.responses.messages import Verdict
+
+# The parser reports a change of protocol, which no request asks for, by an
+# exception of another class.
+PARSER_ERRORS = (HttpParserError, HttpParserUpgrade)
+# Responses with these statuses have no body, whatever their headers state.
+BODILESS_STATUSES = (204, 304)
+# A faulty searcher may send bytes without end.
+MAX_RECEIVED_BYTES = 16 * 1024 * 1024
+# A header takes about 200 bytes besides its text.
+MAX_HEADERS = 256
+# Bytes of heads, trailers and framing: a fixed part, and for each byte of a
+# body more than the six of a chunk that holds a single byte.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Causes of exchanges that end without a usable response.
+NO_OTHER_RESPONSE = "no response follows that to another request"
+TOO_LONG = "response too long"
+
+
+@dataclass(frozen=True, slots=True)
+class RawResponse:
+    """A complete response as received; header names in lower case."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HeadCodec:
+    """How the heads of responses are read.
+
+    :param id_header: response header that echoes the request id, in lower
+        case
+    :param digest_header: response header with the digest, in lower case
+    :param decode_notices: takes a status and headers, returns notices
+    """
+
+    id_header: bytes
+    digest_header: bytes
+    decode_notices: Callable[[int, list], tuple[Notice, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class Incomplete:
+    """The response has not arrived, or not all of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Complete:
+    """The response to the pending request has arrived.
+
+    :param verdict: what shows that it belongs to the request
+    :param is_last: whether no other request may be sent after it
+    """
+
+    response: RawResponse
+    verdict: Verdict
+    is_last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """No usable response can arrive any more.
+
+    :param reason: cause for the log and for the caller
+    :param rejected: why a response was not taken; None if there was none
+    """
+
+    reason: str
+    rejected: Unproven | None = None
+
+
+ReadResult = Incomplete | Complete | Broken
+INCOMPLETE = Incomplete()
+
+
+class ResponseReader:
+    """Owns the parser and the response that is being read."""
+
+    def __init__(
+        self,
+        codec: HeadCodec,
+        on_notices: Callable[[tuple[Notice, ...]], None],
+        on_skipped: Callable[[int, Foreign], None],
+        max_received_bytes: int,
+    ) -> None:
+        """Create a reader without a pending request.
+
+        :param on_notices: called with what a complete head states
+        :param on_skipped: called with the status and verdict of a response to
+            another request
+        :param max_received_bytes: how many bytes may arrive for a request
+        """
+        self._codec = codec
+        self._on_notices = on_notices
+        self._on_skipped = on_skipped
+        self._max_received_bytes = max_received_bytes
+        self._exchange: Exchange | None = None
+        self._is_last = False
+        self._complete: Complete | None = None
+        # Why the exchange ends unless a proven response has arrived as well.
+        self._unproven: Unproven | None = None
+        self._received_bytes = 0
+        self._received_body_bytes = 0
+        # Status lines that the parser has read from the latest bytes.
+        self._parsed_heads = 0
+        # End of the bytes before, in which a status line may begin.
+        self._overlap = b""
+        # Whether the bytes of the exchange hold more than one status line.
+        self._may_be_joined = False
+        self._body_search = BodySearch(codec.id_header, codec.digest_header)
+        self._reset_response()
+        self._parser = HttpResponseParser(self)
+
+    @property
+    def status(self) -> int:
+        """Return the status of the response that is being read."""
+        return self._status
+
+    def begin(self, exchange: Exchange) -> None:
+        """Expect the response to a request."""
+        self._exchange = exchange
+        self._complete = self._unproven = None
+        self._received_bytes = self._received_body_bytes = 0
+        self._overlap = b""
+        self._may_be_joined = False
+        self._body_search.reset()
+
+    def end(self) -> None:
+        """Expect no response, and keep nothing of what has arrived."""
+        self._exchange = self._complete = None
+        self._reset_response()
+
+    def feed(self, data: bytes) -> ReadResult:
+        """Read bytes that have arrived for the pending request.
+
+        All of them are read before a response counts as complete, because
+        bytes that follow it make the connection unusable.
+        """
+        if not self._may_be_joined:
+            self._may_be_joined = may_be_joined(
+                data, self._overlap, is_start=not self._received_bytes
+            )
+        error = self._parse(data)
+        self._overlap = data[-OVERLAP:]
+        self._received_bytes += len(data)
+        if self._complete is not None:
+            if not self._is_last:
+                return self._complete
+            complete = self._complete
+            return Complete(complete.response, complete.verdict, is_last=True)
+        if self._may_be_joined and self._body_search.finds_head(self._body):
+            self._unproven = Unproven(JOINED_RESPONSES)
+        if self._unproven is not None:
+            return Broken(self._unproven.reason, self._unproven)
+        if error is not None:
+            return Broken(error)
+        return Broken(TOO_LONG) if self._is_too_long() else INCOMPLETE
+
+    def feed_eof(self) -> ReadResult:
+        """Complete a response whose end is the end of the connection."""
+        if not self._ends_at_eof():
+            return INCOMPLETE
+        self._is_last = True
+        self._store_response()
+        if self._unproven is not None:
+            return Broken(self._unproven.reason, self._unproven)
+        return self._complete or INCOMPLETE
+
+    def read_notices(self, data: bytes) -> None:
+        """Read the head of a response that no request awaits."""
+        self._is_last = True
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> str | None:
+        """Parse bytes and return the error of the parser, if there is one."""
+        self._parsed_heads = 0
+        try:
+            self._parser.feed_data(data)
+        except PARSER_ERRORS as exc:
+            self._is_last = True
+            self._check_end(data)
+            return f"invalid HTTP response: {exc}"
+        return None
+
+    # Callbacks of the parser
+
+    def on_message_begin(self) -> None:
+        """Start a response (callback of the parser)."""
+        if self._complete is not None:
+            self._is_last = True
+        self._reset_response()
+
+    def on_status(self, reason: bytes) -> None:
+        """Keep the reason phrase (callback of the parser)."""
+        if not self._reason:
+            self._parsed_heads += 1
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header (callback of the parser).
+
+        Trailers, which follow the body, are not used: they would change what
+        the head has stated.
+        """
+        if not self._is_header_complete:
+            self._headers.append((name.lower(), value))
+        elif holds_status_line(value):
+            self._unproven = Unproven(JOINED_RESPONSES)
+
+    def on_headers_complete(self) -> None:
+        """Decide whose the response is (callback of the parser)."""
+        self._status = self._parser.get_status_code()
+        self._is_header_complete = True
+        if not self._reason:
+            self._parsed_heads += 1
+        notices = self._codec.decode_notices(self._status, self._headers)
+        if notices:
+            self._on_notices(notices)
+        if self._exchange is None:
+            return
+        if self._complete is None:
+            self._verdict = self._judge_head()
+            if isinstance(self._verdict, Unproven):
+                self._unproven = self._verdict
+        if not self._exchange.expects_body and self._status >= 200:
+            # The parser would take the next response for the body that these
+            # headers announce.
+            self._is_last = True
+            self._store_response()
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body (callback of the parser)."""
+        self._body += body
+        self._received_body_bytes += len(body)
+
+    def on_message_complete(self) -> None:
+        """Finish a response (callback of the parser).
+
+        Interim responses (status 1xx) are skipped.
+        """
+        if self._status < 200:
+            return
+        if not self._parser.should_keep_alive():
+            self._is_last = True
+        self._store_response()
+
+    def _judge_head(self) -> Verdict | None:
+        """Return the verdict on a head, None on that of an interim response.
+
+        The head of an interim response names no request.
+        """
+        if self._may_be_joined and is_head_joined(self._reason, self._headers):
+            return Unproven(JOINED_RESPONSES)
+        if self._status < 200:
+            return None
+        id_header = self._codec.id_header
+        return match_response(
+            self._exchange, [v for k, v in self._headers if k == id_header]
+        )
+
+    def _store_response(self) -> None:
+        """Keep the response if it is the one to the pending request."""
+        if self._complete is not None or self._exchange is None:
+            return
+        match self._verdict:
+            case MatchedAsFirst():
+                self._is_last = True
+            case Foreign() as foreign:
+                self._skip_response(foreign)
+                return
+            case Unproven():
+                return
+        if self._may_be_joined and self._body_search.finds_head(self._body):
+            self._unproven = Unproven(JOINED_RESPONSES)
+            return
+        response = RawResponse(
+            self._status, tuple(self._headers), bytes(self._body)
+        )
+        self._complete = Complete(response, self._verdict, self._is_last)
+        self._body = bytearray()
+
+    def _skip_response(self, foreign: Foreign) -> None:
+        """Wait for another response, unless none can follow.
+
+        The searcher has shown that it responds twice, so that the connection
+        carries no other request.
+        """
+        ends_connection = not self._parser.should_keep_alive()
+        if ends_connection or not self._exchange.expects_body:
+            self._unproven = Unproven(NO_OTHER_RESPONSE)
+            return
+        self._is_last = True
+        self._on_skipped(self._status, foreign)
+
+    def _check_end(self, data: bytes) -> None:
+        """Discard a complete response that ends inside another one.
+
+        The parser has failed after its end. If it has missed a status line,
+        that line begins in the body.
+        """
+        if self._complete is None:
+            return
+        if count_status_lines(self._overlap + data) > self._parsed_heads:
+            self._complete = None
+            self._unproven = Unproven(JOINED_RESPONSES)
+
+    def _is_too_long(self) -> bool:
+        """Return whether more has arrived for the request than is allowed."""
+        body_bytes = self._received_body_bytes
+        overhead_bytes = self._received_bytes - body_bytes
+        return (
+            self._received_bytes > self._max_received_bytes
+            or len(self._headers) > MAX_HEADERS
+            or overhead_bytes
+            > MAX_OVERHEAD_BYTES + body_bytes * MAX_OVERHEAD_PER_BODY_BYTE
+        )
+
+    def _ends_at_eof(self) -> bool:
+        if not self._is_header_complete or self._status < 200:
+            return False
+        if self._status in BODILESS_STATUSES:
+            return False
+        names = {name for name, _ in self._headers}
+        return not names & {b"content-length", b"transfer-encoding"}
+
+    def _reset_response(self) -> None:
+        self._headers: list[tuple[bytes, bytes]] = []
+        # Parts of a body can be single bytes, which take more as objects.
+        self._body = bytearray()
+        if self._may_be_joined:
+            self._body_search.reset()
+        self._status = 0
+        self._reason = b""
+        self._verdict: Verdict | None = None
+        self._is_header_complete = False
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -27,8 +27,6 @@
 from kumquatchuted.searchers.balancer import LoadBalancer
 from kumquatchuted.searchers.connection import ConnectionClosed
 from kumquatchuted.searchers.connection import ConnectionOpened
-from kumquatchuted.searchers.connection import HeadCodec
-from kumquatchuted.searchers.connection import MAX_RECEIVED_BYTES
 from kumquatchuted.searchers.connection import NoticesReceived
 from kumquatchuted.searchers.connection import ResponseReceived
 from kumquatchuted.searchers.connection import ResponseSkipped
@@ -44,6 +42,8 @@
 from kumquatchuted.searchers.pool import ConnectionPool
 from kumquatchuted.searchers.received import ReceivedBytes
 from kumquatchuted.searchers.response_log import ResponseLog
+from kumquatchuted.searchers.response_reader import HeadCodec
+from kumquatchuted.searchers.response_reader import MAX_RECEIVED_BYTES
 from kumquatchuted.searchers.shards import build_partial_query
 from kumquatchuted.searchers.shards import refuse_uncovered
 from kumquatchuted.searchers.waiting import WaitExpired
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
@@ -14,12 +14,12 @@
 from kumquatchuted.responses.messages import Unproven
 from kumquatchuted.searchers.connection import Connection
 from kumquatchuted.searchers.connection import ConnectionClosed
-from kumquatchuted.searchers.connection import HeadCodec
-from kumquatchuted.searchers.connection import NO_OTHER_RESPONSE
 from kumquatchuted.searchers.connection import NoticesReceived
 from kumquatchuted.searchers.connection import ResponseReceived
 from kumquatchuted.searchers.connection import ResponseSkipped
 from kumquatchuted.searchers.connection import UnexpectedBytes
+from kumquatchuted.searchers.response_reader import HeadCodec
+from kumquatchuted.searchers.response_reader import NO_OTHER_RESPONSE
 
 PROCESS = ProcessId("i-1", 1)
 HEAD_CODEC = HeadCodec(REQUEST_ID_HEADER, STAMP_HEADER, decode_notices)
@@ -199,6 +199,21 @@
             ), length
 
 
+def test_interim_response_that_breaks_off_does_not_hide_the_next() -> None:
+    """Guards against a caller that waits although its exchange has ended.
+
+    The head of the response is read as the rest of the interim response, and
+    no body follows.
+    """
+    connection, posted, transport = awaiting_response(is_first=False)
+    connection.data_received(b"HTTP/1.1 100 Cont")
+    connection.data_received(
+        b"HTTP/1.1 204 No Content\r\nX-Request-Id: r1\r\n\r\n"
+    )
+    assert isinstance(posted[-1], ConnectionClosed)
+    assert transport.closing
+
+
 @pytest.mark.parametrize("framing", [b"Content-Length: 14\r\n", b""])
 def test_response_that_its_copy_continues_is_not_whole(
     framing: bytes,
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_received.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_received.py
@@ -7,9 +7,9 @@
 from kumquatchuted.responses.messages import Exchange
 from kumquatchuted.searchers.connection import Connection
 from kumquatchuted.searchers.connection import ConnectionClosed
-from kumquatchuted.searchers.connection import HeadCodec
 from kumquatchuted.searchers.received import MEMORY_USED
 from kumquatchuted.searchers.received import ReceivedBytes
+from kumquatchuted.searchers.response_reader import HeadCodec
 from kumquatchuted.searchers.tests.test_connection import FakeTransport
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 5000\r\n\r\n"
