Decide in one place what settles the attempts of a request

It found as well that callers got a digest twice, joined by a comma, if the searcher sent it twice; that whitespace after a digest made a success unusable; that a second Content-Encoding hid the first; and that a success with X-Not-Executed made a request count as not run. Callers get one digest, and such a success counts as one that may have run.

--- a/packages/kumquatchuted/src/kumquatchuted/forward/decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/decide.py
@@ -5,13 +5,14 @@
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.errors import TemporaryFailure
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.responses.quality import assess
+from kumquatchuted.responses.quality import NotRun
 from kumquatchuted.responses.quality import Unusable
 from kumquatchuted.retries.progress import AttemptProgress
 from kumquatchuted.retries.progress import NOT_RUN_STATUSES
 from kumquatchuted.searchers.messages import NoResponse
 from kumquatchuted.searchers.messages import Refusal
-from kumquatchuted.searchers.messages import SearcherResponse
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +39,9 @@
     if not progress.may_have_run and not progress.pending:
         return ForwardResult(None, _unavailable(progress.failure))
     match progress.failure:
-        case SearcherResponse(not_executed=False) as response:
+        case SearcherResponse() as response if not isinstance(
+            assess(response), NotRun
+        ):
             return _relay(response, at_most_once)
     return ForwardResult(
         None, Failure(ErrorKind.TARGET_FAILED, _describe(progress.failure))
--- a/packages/kumquatchuted/src/kumquatchuted/forward/tests/test_forward_decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/tests/test_forward_decide.py
@@ -5,11 +5,11 @@
 from kumquatchute_model.errors import ErrorKind
 from kumquatchuted.forward.decide import conclude
 from kumquatchuted.forward.decide import conclude_timeout
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.retries.progress import AttemptProgress
 from kumquatchuted.searchers.messages import NoResponse
 from kumquatchuted.searchers.messages import Refusal
 from kumquatchuted.searchers.messages import RefusalCause
-from kumquatchuted.searchers.messages import SearcherResponse
 
 
 def response(status: int, not_executed: bool = False) -> SearcherResponse:
--- a/packages/kumquatchuted/src/kumquatchuted/gather/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/messages.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from kumquatchute_model.errors import Failure
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.retries.messages import DeadlineMoved
 from kumquatchuted.searchers.messages import NoResponse
 from kumquatchuted.searchers.messages import Refusal
-from kumquatchuted.searchers.messages import SearcherResponse
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
@@ -12,11 +12,11 @@
 from kumquatchuted.gather.messages import ShardsDelegated
 from kumquatchuted.gather.messages import Started
 from kumquatchuted.gather.messages import TimerFired
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.retries.progress import RetryPolicy
 from kumquatchuted.searchers.messages import NoResponse
 from kumquatchuted.searchers.messages import Refusal
 from kumquatchuted.searchers.messages import RefusalCause
-from kumquatchuted.searchers.messages import SearcherResponse
 
 SHARDS = 4
 SOFT_DEADLINE = 0.1
--- a/packages/kumquatchuted/src/kumquatchuted/partials/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/messages.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 
 from kumquatchuted.notices.messages import ProcessId
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.routing.messages import Route
 from kumquatchuted.searchers.messages import NoResponse
 from kumquatchuted.searchers.messages import OutgoingRequest
-from kumquatchuted.searchers.messages import SearcherResponse
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -31,8 +31,8 @@
 from kumquatchuted.partials.nodes import choose_node
 from kumquatchuted.partials.nodes import NodeState
 from kumquatchuted.partials.nodes import record_failure
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.searchers.messages import NoResponse
-from kumquatchuted.searchers.messages import SearcherResponse
 
 log = Logger("partials")
 
--- a/packages/kumquatchuted/src/kumquatchuted/platform/callers.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/callers.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.searchers.messages import OutgoingRequest
-from kumquatchuted.searchers.messages import SearcherResponse
 
 REQUEST_ID_HEADER = b"x-request-id"
 DEADLINE_HEADER = b"x-deadline-ms"
--- a/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
@@ -8,9 +8,9 @@
 from kumquatchuted.notices.messages import MalformedNotice
 from kumquatchuted.notices.messages import Notice
 from kumquatchuted.notices.messages import PauseRequested
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.searchers.load import LoadReport
 from kumquatchuted.searchers.messages import OutgoingRequest
-from kumquatchuted.searchers.messages import SearcherResponse
 from kumquatchuted.searchers.response_reader import RawResponse
 
 REQUEST_ID_HEADER = b"x-request-id"
@@ -86,16 +86,21 @@
     forwarded = []
     for name, value in raw.headers:
         if name == STAMP_HEADER:
-            stamps.add(value)
-        elif name == NOT_EXECUTED_HEADER:
+            stamps.add(value.strip())
+            continue
+        if name == NOT_EXECUTED_HEADER:
             not_executed = True
         elif name == ENCODING_HEADER:
-            is_encoded = value.strip().lower() not in (b"", b"identity")
+            is_encoded |= value.strip().lower() not in (b"", b"identity")
         if name not in DROPPED_RESPONSE_HEADERS:
             forwarded.append((name, value))
+    stamp = _select_stamp(stamps)
+    if stamp:
+        # Callers get one digest, also if it was sent twice.
+        forwarded.append((STAMP_HEADER, stamp))
     return SearcherResponse(
         status=raw.status,
-        stamp=_select_stamp(stamps),
+        stamp=stamp,
         body=raw.body,
         not_executed=not_executed,
         wrong_process=raw.status == MISDIRECTED_STATUS,
--- a/packages/kumquatchuted/src/kumquatchuted/responses/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/messages.py
@@ -1,4 +1,4 @@
-"""Requests that await a response, and the verdicts on responses."""
+"""Requests that await a response, responses, and the verdicts on them."""
 
 from dataclasses import dataclass
 
@@ -20,6 +20,30 @@
     is_first: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SearcherResponse:
+    """A complete response of a searcher.
+
+    :param stamp: digest of the response; empty if it has none that is valid
+    :param not_executed: whether the searcher states that it did not run the
+        request
+    :param wrong_process: whether another process than the chosen searcher
+        responded, which now has its address
+    :param headers: headers that callers receive, names in lower case
+    :param source: searcher and connection, or node, that it came from
+    :param is_encoded: whether the body is not the one that the digest is of
+    """
+
+    status: int
+    stamp: bytes
+    body: bytes
+    not_executed: bool
+    wrong_process: bool
+    headers: tuple[tuple[bytes, bytes], ...]
+    source: str = ""
+    is_encoded: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class MatchedById:
     """The response names the pending request."""
--- a/packages/kumquatchuted/src/kumquatchuted/responses/quality.py
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/quality.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from kumquatchuted.searchers.messages import SearcherResponse
+from kumquatchuted.responses.messages import SearcherResponse
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,12 +45,15 @@
 
 NO_DIGEST = "a success without a digest"
 ENCODED_BODY = "a success with an encoded body"
+CONTRADICTION = "a success that states that the request did not run"
 INVALID_STATUS = "a status that HTTP does not have"
 MAX_STATUS = 599
 
 
 def assess(response: SearcherResponse) -> Quality:
     """Return what a complete response is good for."""
+    if response.not_executed and response.status < 300:
+        return Unusable(CONTRADICTION)
     if response.not_executed:
         return NotRun()
     if not 200 <= response.status <= MAX_STATUS:
@@ -64,3 +67,21 @@
     if response.is_encoded:
         return Unusable(ENCODED_BODY)
     return Good()
+
+
+def is_answer(response: SearcherResponse, parts_only: bool) -> bool:
+    """Return whether no other searcher needs to be asked.
+
+    A redirection or client error answers the request to a single searcher. A
+    searcher that sends one in place of a part would otherwise look like the
+    fastest of its shard and get most of the queries.
+
+    :param parts_only: whether the response is merged into the answer to a
+        query
+    """
+    match assess(response):
+        case Good():
+            return True
+        case Rejection():
+            return not parts_only
+    return False
--- a/packages/kumquatchuted/src/kumquatchuted/retries/progress.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/progress.py
@@ -3,12 +3,12 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.responses.quality import assess
-from kumquatchuted.responses.quality import Good
-from kumquatchuted.responses.quality import Rejection
+from kumquatchuted.responses.quality import is_answer
+from kumquatchuted.responses.quality import NotRun
 from kumquatchuted.searchers.messages import NoResponse
 from kumquatchuted.searchers.messages import Refusal
-from kumquatchuted.searchers.messages import SearcherResponse
 
 # Limit of the attempts that reach no searcher. They do not count towards
 # max_attempts, so without it the attempts on a service without a reachable
@@ -148,12 +148,15 @@
         return progress, None
     progress = replace(progress, pending=progress.pending - 1)
     match result:
-        case SearcherResponse() if _is_final(result, policy):
+        case SearcherResponse() if is_answer(result, policy.parts_only):
             return replace(progress, response=result, hedge_at=None), None
-        case SearcherResponse(not_executed=True):
-            progress = replace(progress, failure=result)
         case SearcherResponse():
-            progress = replace(progress, failure=result, may_have_run=True)
+            has_run = not isinstance(assess(result), NotRun)
+            progress = replace(
+                progress,
+                failure=result,
+                may_have_run=progress.may_have_run or has_run,
+            )
         case NoResponse(was_sent=True):
             progress = replace(
                 progress,
@@ -205,20 +208,6 @@
     )
 
 
-def _is_final(response: SearcherResponse, policy: RetryPolicy) -> bool:
-    """Return whether the response settles the attempts.
-
-    A redirection or client error is relayed to the caller of a single
-    searcher, but cannot be merged.
-    """
-    match assess(response):
-        case Good():
-            return True
-        case Rejection():
-            return not policy.parts_only
-    return False
-
-
 def _preferred_failure(
     progress: AttemptProgress, result: NoResponse | Refusal
 ) -> SearcherResponse | NoResponse | Refusal:
--- a/packages/kumquatchuted/src/kumquatchuted/retries/tests/test_progress.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/tests/test_progress.py
@@ -1,10 +1,10 @@
 """Attempts for one service: which are retried and which are not."""
 
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.retries import progress as retry_progress
 from kumquatchuted.searchers.messages import NoResponse
 from kumquatchuted.searchers.messages import Refusal
 from kumquatchuted.searchers.messages import RefusalCause
-from kumquatchuted.searchers.messages import SearcherResponse
 
 RETRYABLE = retry_progress.RetryPolicy(max_attempts=2, at_most_once=False)
 AT_MOST_ONCE = retry_progress.RetryPolicy(max_attempts=3, at_most_once=True)
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
@@ -11,9 +11,10 @@
 from kumquatchuted.membership.messages import RegisteredSearcher
 from kumquatchuted.platform import searcher_codec as codec
 from kumquatchuted.responses.messages import Exchange
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.responses.quality import assess
-from kumquatchuted.responses.quality import Good
-from kumquatchuted.responses.quality import Rejection
+from kumquatchuted.responses.quality import is_answer
+from kumquatchuted.responses.quality import NotRun
 from kumquatchuted.retries.service_budgets import ServiceBudgets
 from kumquatchuted.searchers.balancer import LoadBalancer
 from kumquatchuted.searchers.connect import OUT_OF_DESCRIPTORS
@@ -26,7 +27,6 @@
 from kumquatchuted.searchers.messages import NoResponse
 from kumquatchuted.searchers.messages import Refusal
 from kumquatchuted.searchers.messages import RefusalCause
-from kumquatchuted.searchers.messages import SearcherResponse
 from kumquatchuted.searchers.messages import SendAttempt
 from kumquatchuted.searchers.messages import WithdrawAttempt
 from kumquatchuted.searchers.pending import LingerExpired
@@ -390,7 +390,7 @@
         self, attempt: PendingAttempt, response: SearcherResponse, now: float
     ) -> None:
         name, started_at = attempt.searcher, attempt.started_at
-        if _is_usable(attempt.message, response):
+        if is_answer(response, attempt.message.is_shard_query):
             route = attempt.message.route
             self._balancer.on_attempt_succeeded(name, route, started_at, now)
             return
@@ -402,7 +402,7 @@
             name,
             attempt.connection.number,
             response.status,
-            not response.not_executed,
+            not isinstance(assess(response), NotRun),
             attempt.message.outgoing.request_id.decode("latin-1"),
         )
 
@@ -471,18 +471,3 @@
     def _post_later(self, delay_s: float, message: object) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(max(0.0, delay_s), self._post, message)
-
-
-def _is_usable(message: SendAttempt, response: SearcherResponse) -> bool:
-    """Return whether the response counts as a success of the searcher.
-
-    A client error answers the request to a single searcher. A searcher that
-    sends one instead of a part would otherwise look like the fastest of its
-    shard and get most of the queries.
-    """
-    match assess(response):
-        case Good():
-            return True
-        case Rejection():
-            return not message.is_shard_query
-    return False
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/messages.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.routing.messages import Route
 
 
@@ -128,30 +129,6 @@
     retry_after_s: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class SearcherResponse:
-    """A complete response of a searcher.
-
-    :param stamp: digest of the response; empty if it has none that is valid
-    :param not_executed: whether the searcher states that it did not run the
-        request
-    :param wrong_process: whether another process than the chosen searcher
-        responded, which now has its address
-    :param headers: headers that callers receive, names in lower case
-    :param source: searcher and connection, or node, that it came from
-    :param is_encoded: whether the body is not the one that the digest is of
-    """
-
-    status: int
-    stamp: bytes
-    body: bytes
-    not_executed: bool
-    wrong_process: bool
-    headers: tuple[tuple[bytes, bytes], ...]
-    source: str = ""
-    is_encoded: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class NoResponse:
     """An attempt or a partial query ended without a usable response.
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/response_log.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/response_log.py
@@ -7,6 +7,7 @@
 from kumquatchuted.responses.messages import Foreign
 from kumquatchuted.responses.messages import MatchedAsFirst
 from kumquatchuted.responses.messages import MatchedById
+from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.responses.messages import Unproven
 from kumquatchuted.responses.messages import Verdict
 from kumquatchuted.responses.quality import assess
@@ -14,7 +15,6 @@
 from kumquatchuted.searchers.connection import ResponseReceived
 from kumquatchuted.searchers.connection import ResponseSkipped
 from kumquatchuted.searchers.connection import UnexpectedBytes
-from kumquatchuted.searchers.messages import SearcherResponse
 from kumquatchuted.searchers.messages import SendAttempt
 
 log = Logger("searchers")
