Serve requests with two ids, and close one idle connection for a request

A request with two different ids waited until its time limit if the searcher named the first one. It counts as one without an id now, whose response is taken only from a new connection. For a request that cannot use the idle connections of full searchers, one of them is closed, and not one of each searcher tried.

test_request_with_two_ids_counts_as_one_without fails without this.

--- a/packages/kumquatchuted/src/kumquatchuted/platform/callers.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/callers.py
@@ -62,7 +62,8 @@
     :param query: raw query string, without the question mark
     :param headers: names in lower case and values
     """
-    host = request_id = b""
+    host = b""
+    request_ids = set()
     caller_timeout_s = None
     has_body = bool(body)
     request_target = path + b"?" + query if query else path
@@ -71,13 +72,15 @@
         if name == b"host":
             host = value
         elif name == REQUEST_ID_HEADER:
-            request_id = value
+            request_ids.add(value)
         elif name == DEADLINE_HEADER:
             caller_timeout_s = _parse_timeout_s(value)
         elif name == b"content-length":
             has_body = True
         if name not in DROPPED_REQUEST_HEADERS:
             lines.append(b"%s: %s\r\n" % (name, value))
+    # A searcher could name either of two ids in its response.
+    request_id = request_ids.pop() if len(request_ids) == 1 else b""
     if has_body:
         lines.append(b"content-length: %d\r\n" % len(body))
     return CallerRequest(
--- a/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_callers.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_callers.py
@@ -68,6 +68,18 @@
         assert req.caller_timeout_s is None
 
 
+def test_request_with_two_ids_counts_as_one_without() -> None:
+    """Guards against a response that is not recognised as the caller's.
+
+    Both ids are forwarded, and the searcher may name either.
+    """
+    headers = [(b"x-request-id", b"a"), (b"x-request-id", b"b")]
+    req = decode_request("GET", b"/", b"", headers, b"")
+    assert req.outgoing.request_id == b""
+    same = decode_request("GET", b"/", b"", headers[:1] * 2, b"")
+    assert same.outgoing.request_id == b"a"
+
+
 def test_execution_and_stamp_headers_are_decoded() -> None:
     """Guards against a request that ran but is reported as not run.
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/attempts.py
@@ -268,6 +268,7 @@
                 message.route, message.service, excluded, now
             )
             if searcher is None and is_busy:
+                self._pool.make_room(excluded[-1])
                 return Refusal(RefusalCause.BUSY)
             if searcher is None:
                 return Refusal(
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
@@ -95,7 +95,6 @@
         """
         connections = self._connections.setdefault(searcher.name, [])
         if len(connections) >= max_connections:
-            self._close_idle_to_make_room(searcher.name)
             return None
         if self.is_at_total_limit():
             self._close_longest_idle()
@@ -159,8 +158,8 @@
             self._idle[connection.searcher].remove(connection)
             connection.close()
 
-    def _close_idle_to_make_room(self, searcher: str) -> None:
-        """Close an idle connection that the waiting request cannot use."""
+    def make_room(self, searcher: str) -> None:
+        """Close an idle connection that a waiting request cannot use."""
         idle = self._idle.get(searcher)
         if idle:
             idle.pop(0).close()
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_pool.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_pool.py
@@ -77,6 +77,7 @@
         pool.add_idle(opened.connection, now=0.0)
         assert pool.take_idle("i-0", b"", False, 0.1) is None
         assert pool.open(searcher(0, port), 1) is None
+        pool.make_room("i-0")
         closed = await events.get()
         assert closed.connection is opened.connection
         pool.remove(closed.connection)
