Take a response of a searcher only if it names its attempt

What callers saw: on the product's own interface, a caller could get the hits and the coverage of another query, or the result of another submission; and a submission that ran could be recorded as not run, so that a repetition could run it again.

Cause: nothing showed to which request a response belonged. A second copy of a response on a kept connection was parsed while the connection was idle, and aiohttp gave it to the next request, in Python 3.11 even before that request was sent.

Change: the body of each response repeats the attempt of its request. A response that names another one or none leaves the outcome unknown (may have run), never "not run"; it counts as a failure in the warm-up of the searcher, its slot stays occupied as after a timeout, its connection is closed, and "response skipped" names both attempts. Health and load reports, which share the connections, name their request too. A copy that arrived before the request was sent is found when the body is to be written: nothing of the request was sent, so that it goes out on another connection. The stand-in searcher repeats the attempt and sends second copies ("repeat_answers").

Searchers without the attempt in their responses can no longer be used.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/demo/tests/site_harness.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/demo/tests/site_harness.py
@@ -87,7 +87,9 @@
     return "-".join(parts)
 
 
-async def submit(session, node, key: str) -> tuple[int | None, dict]:
+async def submit(
+    session, node, key: str, payload: str = "quiz answers"
+) -> tuple[int | None, dict]:
     """Send one submission.
 
     :param key: idempotency key
@@ -98,7 +100,7 @@
         "Authorization": f"Bearer {CALLER_TOKEN}",
         "Idempotency-Key": key,
     }
-    body = {"payload": "quiz answers", "deadline_ms": 3000}
+    body = {"payload": payload, "deadline_ms": 3000}
     try:
         async with session.post(url, json=body, headers=headers) as resp:
             return resp.status, await resp.json()
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/codec.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/codec.py
@@ -10,6 +10,7 @@
 from kumquatchute_standins.searcher.controls import FleetControl
 from kumquatchute_standins.searcher.controls import HangConnections
 from kumquatchute_standins.searcher.controls import LoseAnswers
+from kumquatchute_standins.searcher.controls import RepeatAnswers
 from kumquatchute_standins.searcher.controls import Restart
 from kumquatchute_standins.searcher.controls import SetDraining
 from kumquatchute_standins.searcher.controls import SetIndex
@@ -28,6 +29,7 @@
     "set_slow": SetSlow,
     "set_partial": SetPartial,
     "lose_answers": LoseAnswers,
+    "repeat_answers": RepeatAnswers,
     "set_report": SetReport,
     "clear_records": ClearRecords,
 }
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/controls.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/controls.py
@@ -67,6 +67,18 @@
     count: int = 1
 
 
+@dataclass(frozen=True)
+class RepeatAnswers:
+    """Send the answers of the next calls twice.
+
+    :param count: number of calls
+    :param delay_ms: time between the two copies in milliseconds
+    """
+
+    count: int = 1
+    delay_ms: float = 20.0
+
+
 @dataclass(frozen=True)
 class SetReport:
     """Report fixed values in ``/health`` and ``/load``.
@@ -87,7 +99,14 @@
 StateFault = (
     Restart | SetIndex | SetDraining | SetSlow | SetPartial | SetReport
 )
-Control = StateFault | SetUp | HangConnections | LoseAnswers | ClearRecords
+Control = (
+    StateFault
+    | SetUp
+    | HangConnections
+    | LoseAnswers
+    | RepeatAnswers
+    | ClearRecords
+)
 
 
 @dataclass(frozen=True)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/decide.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/decide.py
@@ -134,7 +134,7 @@
             build_refusal(state, job, CANCELLED_STATUS, "cancelled", now)
         )
     state, started = _start_waiting_jobs(state, now)
-    result = Cancelled(bool(jobs), state.incarnation)
+    result = Cancelled(bool(jobs), state.incarnation, attempt)
     return state, result, (*actions, *started)
 
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/messages.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/messages.py
@@ -1,30 +1,31 @@
 """Messages of the searcher stand-in: calls, results and records.
 
-The target protocol is JSON over HTTP/1.1.
+The target protocol is JSON over HTTP/1.1. The body of each response repeats
+the ``attempt`` of its request, empty if the request could not be decoded.
 
 ``POST /search`` takes ``{attempt, shard, index_version, map_version, names,
 limit, deadline_ms}`` and answers 200 with ``{hits: [{doc, name, score,
-text}], docs, index_version, map_version, incarnation, cold, busy}``, where
-``busy`` is the number of other requests that run or wait.
+text}], docs, index_version, map_version, incarnation, cold, busy, attempt}``,
+where ``busy`` is the number of other requests that run or wait.
 
 ``POST /submit`` takes ``{attempt, payload}`` and optionally ``deadline_ms``,
 and answers 200 with ``{attempt, result, incarnation, cold, busy}``.
 
 ``POST /cancel`` takes ``{attempt}`` and answers 200 with ``{cancelled,
-incarnation}`` when the attempt does not run and never will; ``cancelled`` says
-whether it was waiting or running before. A submission that occupies a slot is
-not stopped: the response is 409 ``running``.
+incarnation, attempt}`` when the attempt does not run and never will;
+``cancelled`` says whether it was waiting or running before. A submission that
+occupies a slot is not stopped: the response is 409 ``running``.
 
 ``GET /health`` answers ``{healthy, incarnation, index_version, map_version,
-draining}``. ``GET /load`` answers ``{in_flight, queued, slots, cold,
-incarnation}``.
+draining, attempt}``. ``GET /load`` answers ``{in_flight, queued, slots, cold,
+incarnation, attempt}``. Both take the attempt from the query string.
 
 Every other status has the body ``{status, kind, reason, not_run,
-index_version, map_version, incarnation, cold, busy}``. The kinds are 400
-``malformed``, 404 ``unknown_shard``, 409 ``wrong_version``, 499 ``cancelled``,
-500 ``failed``, 503 ``shed`` or ``draining``, and 504 ``deadline_exceeded``.
-The versions are those of the newest index of the searcher. ``not_run`` is true
-only if no part of the request ran.
+index_version, map_version, incarnation, cold, busy, attempt}``. The kinds are
+400 ``malformed``, 404 ``unknown_shard``, 409 ``wrong_version``, 499
+``cancelled``, 500 ``failed``, 503 ``shed`` or ``draining``, and 504
+``deadline_exceeded``. The versions are those of the newest index of the
+searcher. ``not_run`` is true only if no part of the request ran.
 """
 
 from dataclasses import dataclass
@@ -73,11 +74,15 @@
 class ReadHealth:
     """Read the health of the searcher. Result: ``Health``."""
 
+    attempt: str = ""
+
 
 @dataclass(frozen=True)
 class ReadLoad:
     """Read the load of the searcher. Result: ``Load``."""
 
+    attempt: str = ""
+
 
 @dataclass(frozen=True)
 class ReadRecords:
@@ -103,6 +108,7 @@
     incarnation: str
     cold: bool
     busy: int
+    attempt: str
 
 
 @dataclass(frozen=True)
@@ -134,6 +140,7 @@
     incarnation: str = ""
     cold: bool = False
     busy: int = 0
+    attempt: str = ""
 
 
 @dataclass(frozen=True)
@@ -144,6 +151,17 @@
 Result = SearchResult | SubmitResult | Refused | ConnectionReset
 
 
+@dataclass(frozen=True)
+class RepeatedResult:
+    """The result of a call, of which a second copy is sent.
+
+    :param delay_ms: time until the second copy in milliseconds
+    """
+
+    result: Result
+    delay_ms: float
+
+
 @dataclass(frozen=True)
 class Cancelled:
     """Result of a cancellation.
@@ -153,6 +171,7 @@
 
     cancelled: bool
     incarnation: str
+    attempt: str
 
 
 @dataclass(frozen=True)
@@ -164,6 +183,7 @@
     index_version: int
     map_version: int
     draining: bool
+    attempt: str = ""
 
 
 @dataclass(frozen=True)
@@ -175,6 +195,7 @@
     slots: int
     cold: bool
     incarnation: str
+    attempt: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/responses.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/responses.py
@@ -15,18 +15,28 @@
 from kumquatchute_standins.searcher.state import SearcherState
 
 
-def report_health(state: SearcherState) -> Health:
-    """Return what ``/health`` reports."""
+def report_health(state: SearcherState, attempt: str = "") -> Health:
+    """Return what ``/health`` reports.
+
+    :param attempt: name of the request
+    """
     healthy = not state.draining
     if state.report_overrides.healthy is not None:
         healthy = state.report_overrides.healthy
     return Health(
-        healthy, state.incarnation, *state.newest_index.version, state.draining
+        healthy,
+        state.incarnation,
+        *state.newest_index.version,
+        state.draining,
+        attempt,
     )
 
 
-def report_load(state: SearcherState) -> Load:
-    """Return what ``/load`` reports."""
+def report_load(state: SearcherState, attempt: str = "") -> Load:
+    """Return what ``/load`` reports.
+
+    :param attempt: name of the request
+    """
     overrides = state.report_overrides
     return Load(
         len(state.running)
@@ -36,6 +46,7 @@
         state.cfg.slots,
         state.is_cold if overrides.cold is None else overrides.cold,
         state.incarnation,
+        attempt,
     )
 
 
@@ -51,6 +62,7 @@
                 state.incarnation,
                 state.is_cold,
                 state.busy_count,
+                job.call.attempt,
             )
         case SubmitCall(attempt=attempt, payload=payload):
             return SubmitResult(
@@ -78,6 +90,7 @@
         state.incarnation,
         state.is_cold,
         state.busy_count,
+        job.call.attempt,
     )
     return Respond(
         job.key, result, build_record(state, job, status, kind, now)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/server.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/server.py
@@ -25,6 +25,7 @@
 from kumquatchute_standins.searcher.messages import ReadRecords
 from kumquatchute_standins.searcher.messages import Records
 from kumquatchute_standins.searcher.messages import Refused
+from kumquatchute_standins.searcher.messages import RepeatedResult
 from kumquatchute_standins.searcher.messages import SearchCall
 from kumquatchute_standins.searcher.messages import SubmitCall
 from kumquatchute_standins.searcher.task import SearcherTask
@@ -173,10 +174,17 @@
                 if req.transport is not None:
                     req.transport.abort()
                 return web.Response()
-            case Refused(status=status):
-                return _build_response(status, result)
+            case RepeatedResult(result=repeated, delay_ms=delay_ms):
+                if req.transport is not None:
+                    asyncio.get_running_loop().call_later(
+                        delay_ms / 1000,
+                        _write_if_open,
+                        req.transport,
+                        _encode_response(repeated),
+                    )
+                return _build_response(repeated)
             case _:
-                return _build_response(200, result)
+                return _build_response(result)
 
     async def _delay_first_request(self, req: web.BaseRequest) -> None:
         if req.protocol in self._server.started:
@@ -186,6 +194,7 @@
             await asyncio.sleep(self.cfg.conn_cost_ms / 1000)
 
     async def _route(self, req: web.BaseRequest, body: bytes) -> Any:
+        attempt = req.query.get("attempt", "")
         match (req.method, req.path):
             case ("POST", "/search"):
                 return await self._run_call(decode_call(body, SearchCall))
@@ -194,9 +203,9 @@
             case ("POST", "/cancel"):
                 return await self._run_call(decode_call(body, CancelCall))
             case ("GET", "/health"):
-                return await self.task.ask(ReadHealth())
+                return await self.task.ask(ReadHealth(attempt))
             case ("GET", "/load"):
-                return await self.task.ask(ReadLoad())
+                return await self.task.ask(ReadLoad(attempt))
             case ("GET", "/records"):
                 return await self.records()
             case ("POST", "/control"):
@@ -214,7 +223,28 @@
         return await self.task.ask(call)
 
 
-def _build_response(status: int, result: Any) -> web.Response:
+def _status_of(result: Any) -> int:
+    return result.status if isinstance(result, Refused) else 200
+
+
+def _build_response(result: Any) -> web.Response:
     return web.Response(
-        status=status, body=encode_result(result), content_type=JSON
+        status=_status_of(result),
+        body=encode_result(result),
+        content_type=JSON,
+    )
+
+
+def _write_if_open(transport: asyncio.Transport, data: bytes) -> None:
+    if not transport.is_closing():
+        transport.write(data)
+
+
+def _encode_response(result: Any) -> bytes:
+    """Return a whole response as it is sent on a connection."""
+    body = encode_result(result)
+    head = (
+        f"HTTP/1.1 {_status_of(result)} Again\r\n"
+        f"Content-Type: {JSON}\r\nContent-Length: {len(body)}\r\n\r\n"
     )
+    return head.encode() + body
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/task.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/task.py
@@ -14,6 +14,7 @@
 from kumquatchute_standins.searcher.config import ServiceTimeDistribution
 from kumquatchute_standins.searcher.controls import ClearRecords
 from kumquatchute_standins.searcher.controls import LoseAnswers
+from kumquatchute_standins.searcher.controls import RepeatAnswers
 from kumquatchute_standins.searcher.decide import admit_call
 from kumquatchute_standins.searcher.decide import apply_fault
 from kumquatchute_standins.searcher.decide import cancel_attempt
@@ -28,6 +29,7 @@
 from kumquatchute_standins.searcher.messages import ReadLoad
 from kumquatchute_standins.searcher.messages import ReadRecords
 from kumquatchute_standins.searcher.messages import Records
+from kumquatchute_standins.searcher.messages import RepeatedResult
 from kumquatchute_standins.searcher.messages import SearchCall
 from kumquatchute_standins.searcher.messages import SubmitCall
 from kumquatchute_standins.searcher.responses import report_health
@@ -76,6 +78,7 @@
         self._pending_calls: dict[int, Ask] = {}
         self._next_key = 1
         self._answers_to_lose = 0
+        self._repeats = RepeatAnswers(0)
         self._records: deque[CallRecord] = deque(maxlen=MAX_RECORDS)
         self._totals = self._empty_totals()
 
@@ -134,10 +137,10 @@
                 )
                 self._apply((state, actions))
                 return result
-            case ReadHealth():
-                return report_health(self._state)
-            case ReadLoad():
-                return report_load(self._state)
+            case ReadHealth(attempt=attempt):
+                return report_health(self._state, attempt)
+            case ReadLoad(attempt=attempt):
+                return report_load(self._state, attempt)
             case ReadRecords():
                 return replace(
                     self._totals,
@@ -149,6 +152,8 @@
                 self._totals = self._empty_totals()
             case LoseAnswers(count=count):
                 self._answers_to_lose = count
+            case RepeatAnswers():
+                self._repeats = request
             case _:
                 now = self._clock()
                 self._apply(
@@ -178,6 +183,11 @@
         if self._answers_to_lose and record.status == 200:
             self._answers_to_lose -= 1
             result = ConnectionReset()
+        elif self._repeats.count and not isinstance(result, ConnectionReset):
+            result = RepeatedResult(result, self._repeats.delay_ms)
+            self._repeats = replace(
+                self._repeats, count=self._repeats.count - 1
+            )
         self._records.append(record)
         answer(message, result)
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/tests/test_searcher_server.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/tests/test_searcher_server.py
@@ -18,6 +18,7 @@
 from kumquatchute_standins.searcher.config import ShardData
 from kumquatchute_standins.searcher.controls import HangConnections
 from kumquatchute_standins.searcher.controls import LoseAnswers
+from kumquatchute_standins.searcher.controls import RepeatAnswers
 from kumquatchute_standins.searcher.controls import Restart
 from kumquatchute_standins.searcher.controls import SetDraining
 from kumquatchute_standins.searcher.controls import SetUp
@@ -181,7 +182,11 @@
         resp = await http.post("/cancel", json={"attempt": "late"})
         body = await resp.json()
         records = await fleet.records("a")
-        assert body == {"cancelled": False, "incarnation": records.incarnation}
+        assert body == {
+            "cancelled": False,
+            "incarnation": records.incarnation,
+            "attempt": "late",
+        }
         status, body = await search(http, "late")
         assert (status, body["not_run"]) == (499, True)
 
@@ -390,3 +395,55 @@
         times=ServiceTimeDistribution(1.0, 0.5, 0.0),
         max_conns=99,
     )
+
+
+def test_each_response_names_the_attempt_of_its_request():
+    """Guards against responses that no node can match to its requests.
+
+    Nodes count a response without the name as one to another request.
+    """
+
+    async def scenario(fleet, http):
+        assert (await search(http, "x1"))[1]["attempt"] == "x1"
+        assert (await search(http, "x2", shard="s9"))[1]["attempt"] == "x2"
+        call = {"attempt": "x3", "payload": "p"}
+        for path in ("/submit", "/cancel"):
+            resp = await http.post(path, json=call)
+            assert (await resp.json())["attempt"] == "x3"
+        for path in ("/health", "/load"):
+            resp = await http.get(path, params={"attempt": "x4"})
+            assert (await resp.json())["attempt"] == "x4"
+
+    run(scenario)
+
+
+def test_repeated_answer_is_sent_twice_on_its_connection():
+    """Guards against a fault that no node meets.
+
+    The second copy has to be a whole response that a client accepts, on a
+    connection that stays open.
+    """
+
+    async def scenario(fleet, http):
+        await fleet.apply_control(RepeatAnswers(1, 20.0))
+        host, _, port = fleet.searchers["a"].address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        body = b'{"attempt": "x1", "payload": "p"}'
+        writer.write(
+            b"POST /submit HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+            % len(body)
+            + body
+        )
+        bodies = []
+        for _ in range(2):
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            assert head.startswith(b"http/1.1 200 ")
+            length = head.split(b"content-length: ")[1].split(b"\r\n")[0]
+            bodies.append(await reader.readexactly(int(length)))
+        assert bodies[0] == bodies[1]
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(1), 0.05)
+        writer.close()
+        assert (await fleet.records("a")).executed == ("x1",)
+
+    run(scenario)
--- a/packages/kumquatchuted/src/kumquatchuted/target_http/body.py
+++ b/packages/kumquatchuted/src/kumquatchuted/target_http/body.py
@@ -27,6 +27,7 @@
         self._admit = admit
         self.is_on_new_conn = False
         self.is_sent = False
+        self.is_stale = False
         self.failure: Failure | None = None
 
     async def write_with_length(
@@ -35,7 +36,13 @@
         """Write the body if it is admitted.
 
         :raises NotAdmittedError: no byte was sent; ``failure`` is the reason
+        :raises StaleConnectionError: no byte was sent; bytes arrived on the
+            connection before the request
         """
+        if not self.is_on_new_conn and writer.protocol.should_close:
+            self.is_stale = True
+            writer.protocol.abort()
+            raise StaleConnectionError
         self.failure = await self._admit(self.is_on_new_conn)
         if self.failure is not None:
             raise NotAdmittedError(self.failure.reason)
@@ -47,6 +54,13 @@
     """A body was not admitted, so its request was not sent."""
 
 
+class StaleConnectionError(Exception):
+    """The connection holds a response to an earlier request.
+
+    A response that is read from it would be taken for that of this request.
+    """
+
+
 def new_connection_trace() -> aiohttp.TraceConfig:
     """Return a trace that sets ``is_on_new_conn`` of bodies.
 
--- a/packages/kumquatchuted/src/kumquatchuted/target_http/client.py
+++ b/packages/kumquatchuted/src/kumquatchuted/target_http/client.py
@@ -1,5 +1,7 @@
 """HTTP client for one searcher, with its own connection pool."""
 
+import asyncio
+from itertools import count
 import socket
 from typing import Any
 
@@ -15,12 +17,14 @@
 from kumquatchuted.target_http.body import admit_always
 from kumquatchuted.target_http.body import AdmittedBody
 from kumquatchuted.target_http.body import new_connection_trace
+from kumquatchuted.target_http.owned_response import OwnedResponse
 from kumquatchuted.target_http.responses import build_unsent_result
 from kumquatchuted.target_http.responses import decode
 from kumquatchuted.target_http.responses import FailedExchange
 from kumquatchuted.target_http.responses import interpret_cancellation
 from kumquatchuted.target_http.responses import interpret_failed_exchange
 from kumquatchuted.target_http.responses import interpret_response
+from kumquatchuted.target_http.responses import owner_of
 from kumquatchuted.target_http.responses import Response
 from kumquatchuted.target_http.wire import CancelRequestBody
 from kumquatchuted.target_http.wire import HealthBody
@@ -38,6 +42,7 @@
 from kumquatchuted.targets.client import Rejected
 from kumquatchuted.targets.client import Report
 from kumquatchuted.targets.client import TimedOut
+from kumquatchuted.targets.client import Unproven
 from kumquatchuted.targets.messages import Attempt
 from kumquatchuted.targets.messages import SearchAttempt
 from kumquatchuted.targets.messages import SubmitAttempt
@@ -63,6 +68,10 @@
     """The response body is longer than ``MAX_RESPONSE_BYTES``."""
 
 
+class UnprovenResponseError(aiohttp.ClientError):
+    """The response names no request or another one."""
+
+
 class HttpTargetClient:
     """Implements ``TargetClient`` with aiohttp."""
 
@@ -71,6 +80,8 @@
 
         :param searcher: its address and connection limit are used
         """
+        self._searcher = searcher.name
+        self._report_numbers = count(1)
         self._sockets: tuple[socket.socket, ...] = ()
         self._verified_sockets: tuple[socket.socket, ...] = ()
         connector = aiohttp.TCPConnector(
@@ -85,6 +96,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             middlewares=(prevent_retry,),
+            response_class=OwnedResponse,
             trace_configs=[new_connection_trace()],
             headers={"Accept-Encoding": "identity"},
         )
@@ -107,7 +119,9 @@
                 ErrorKind.TOO_LARGE, "the request is too large", not_run=True
             )
             return build_unsent_result(attempt, failure)
-        result = await self._post(path, AdmittedBody(body, admit), timeout_s)
+        result = await self._post(
+            path, attempt.attempt, body, admit, timeout_s
+        )
         match result:
             case FailedExchange(failure=Failure() as failure):
                 return build_unsent_result(attempt, failure)
@@ -124,10 +138,10 @@
         if the attempt has already ended. Its slot is freed in all these
         cases; otherwise it would stay occupied for another 0.9 s.
         """
-        body = AdmittedBody(
-            msgspec.json.encode(CancelRequestBody(attempt)), admit_always
-        )
-        match await self._post("/cancel", body, timeout_s):
+        body = msgspec.json.encode(CancelRequestBody(attempt))
+        match await self._post(
+            "/cancel", attempt, body, admit_always, timeout_s
+        ):
             case Response(status=200) as response:
                 return interpret_cancellation(response)
             case FailedExchange(exchange=NotConnected()):
@@ -173,28 +187,73 @@
         return sock
 
     async def _post(
-        self, path: str, body: AdmittedBody, timeout_s: float
+        self,
+        path: str,
+        attempt: str,
+        data: bytes,
+        admit: Admit,
+        timeout_s: float,
     ) -> Response | FailedExchange:
+        """Send a request on a connection that holds no earlier response."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout_s
+        # Each stale connection is closed, and a new one is not tried twice.
+        while True:
+            body = AdmittedBody(data, admit)
+            remaining_s = ends_at - loop.time()
+            result = await self._try_post(path, attempt, body, remaining_s)
+            if result is not None:
+                return result
+            log.warning(
+                "connection stale searcher={} path={} attempt={}",
+                self._searcher,
+                path,
+                attempt,
+            )
+
+    async def _try_post(
+        self, path: str, attempt: str, body: AdmittedBody, timeout_s: float
+    ) -> Response | FailedExchange | None:
+        """Send a request once.
+
+        :returns: None if nothing was sent because the connection holds a
+            response to an earlier request
+        """
+        if timeout_s <= 0:
+            return FailedExchange(False, NotSent())
         try:
-            return await self._request("POST", path, timeout_s, body)
+            response = await self._request(
+                "POST", path, attempt, timeout_s, body
+            )
         except TimeoutError:
             exchange = TimedOut() if body.is_sent else NotSent()
             return FailedExchange(body.is_sent, exchange)
-        except ResponseTooLongError:
-            return FailedExchange(True, Rejected())
+        except (ResponseTooLongError, UnprovenResponseError) as exc:
+            if not body.is_sent:
+                return _stale_connection_result(body)
+            is_unproven = isinstance(exc, UnprovenResponseError)
+            return FailedExchange(
+                True, Unproven() if is_unproven else Rejected()
+            )
         except Exception as exc:
+            if body.is_stale:
+                return _stale_connection_result(body)
             if body.failure is not None:
                 return FailedExchange(False, NotSent(), body.failure)
             _log_unexpected_error(path, exc)
             exchange = Disconnected() if body.is_sent else NotConnected()
             return FailedExchange(body.is_sent, exchange)
+        return response
 
     async def _get(
         self, path: str, kind: type, timeout_s: float
     ) -> Any | NotConnected | None:
+        attempt = f"report-{next(self._report_numbers)}"
         try:
-            response = await self._request("GET", path, timeout_s)
-        except (TimeoutError, ResponseTooLongError):
+            response = await self._request(
+                "GET", f"{path}?attempt={attempt}", attempt, timeout_s
+            )
+        except (TimeoutError, ResponseTooLongError, UnprovenResponseError):
             return None
         except Exception as exc:
             _log_unexpected_error(path, exc)
@@ -205,9 +264,16 @@
         self,
         method: str,
         path: str,
+        attempt: str,
         timeout_s: float,
         body: AdmittedBody | None = None,
     ) -> Response:
+        """Send a request and read its response.
+
+        :param attempt: what the body of the response has to name
+        :raises UnprovenResponseError: it names another or none, or arrived
+            before the request was sent; its connection is closed
+        """
         timeout = aiohttp.ClientTimeout(
             total=timeout_s, ceil_threshold=CEIL_THRESHOLD_S
         )
@@ -226,6 +292,22 @@
                 # A later request must not read the rest of this response.
                 resp.close()
                 raise
+            owner = owner_of(response)
+            is_early = body is not None and not body.is_sent
+            if owner != attempt or is_early:
+                # Responses that follow on the connection are not in step with
+                # its requests.
+                resp.abort_connection()
+                log.warning(
+                    "response skipped searcher={} path={} status={} attempt={}"
+                    " names={}",
+                    self._searcher,
+                    path,
+                    resp.status,
+                    attempt,
+                    owner or "none",
+                )
+                raise UnprovenResponseError("the response is not proven")
         self._verified_sockets = opened_before
         return response
 
@@ -241,6 +323,13 @@
     return max(1, (searcher.max_conns - 1) // 2)
 
 
+def _stale_connection_result(body: AdmittedBody) -> FailedExchange | None:
+    """Return the result of a request that was not sent, None to repeat it."""
+    if body.is_on_new_conn:
+        return FailedExchange(False, Unproven())
+    return None
+
+
 def _log_unexpected_error(path: str, exc: Exception) -> None:
     """Log an error that is not a connection failure.
 
--- a/packages/kumquatchuted/src/kumquatchuted/target_http/responses.py
+++ b/packages/kumquatchuted/src/kumquatchuted/target_http/responses.py
@@ -10,6 +10,7 @@
 from kumquatchuted.target_http.wire import CancelResponseBody
 from kumquatchuted.target_http.wire import DRAINING_KIND
 from kumquatchuted.target_http.wire import ErrorBody
+from kumquatchuted.target_http.wire import ResponseOwner
 from kumquatchuted.target_http.wire import SearchResponseBody
 from kumquatchuted.target_http.wire import SHED_KIND
 from kumquatchuted.target_http.wire import SubmitResponseBody
@@ -21,6 +22,7 @@
 from kumquatchuted.targets.client import NotSent
 from kumquatchuted.targets.client import Rejected
 from kumquatchuted.targets.client import TimedOut
+from kumquatchuted.targets.client import Unproven
 from kumquatchuted.targets.messages import Attempt
 from kumquatchuted.targets.messages import AttemptFailed
 from kumquatchuted.targets.messages import SearchAttempt
@@ -63,6 +65,12 @@
         return None
 
 
+def owner_of(response: Response) -> str:
+    """Return the attempt that a response names, empty if it names none."""
+    body = decode(response, ResponseOwner)
+    return "" if body is None else body.attempt
+
+
 def interpret_cancellation(response: Response) -> Cancelled | None:
     """Interpret a response with status 200 to ``POST /cancel``.
 
@@ -162,10 +170,14 @@
 ) -> AttemptResult:
     """Return the result of an attempt without a complete response."""
     match failed:
-        case FailedExchange(sent=False, exchange=NotConnected()):
+        case FailedExchange(sent=False, exchange=NotConnected() | Unproven()):
             kind, reason = ErrorKind.TARGET_FAILED, "no connection"
         case FailedExchange(sent=False):
             kind, reason = ErrorKind.DEADLINE_EXCEEDED, "no connection in time"
+        case FailedExchange(exchange=Unproven() as exchange):
+            return _unknown_outcome_result(
+                attempt, "the response is not that of the attempt", exchange
+            )
         case FailedExchange(exchange=exchange):
             return _unknown_outcome_result(
                 attempt, "no complete response", exchange
--- a/packages/kumquatchuted/src/kumquatchuted/target_http/tests/test_target_client.py
+++ b/packages/kumquatchuted/src/kumquatchuted/target_http/tests/test_target_client.py
@@ -24,7 +24,13 @@
 
 SEARCH = SearchAttempt("q1", "console", "s1", "0", 3, 4, ("x",), 5, 0)
 SUBMIT = SubmitAttempt("m1", "quiz", "s1", "p", 0)
-SEARCH_RESPONSE = {"hits": [], "docs": 7, "index_version": 3, "map_version": 4}
+SEARCH_RESPONSE = {
+    "attempt": SEARCH.attempt,
+    "hits": [],
+    "docs": 7,
+    "index_version": 3,
+    "map_version": 4,
+}
 
 
 class Server:
@@ -121,7 +127,7 @@
     """
 
     async def respond(req: web.Request) -> web.Response:
-        return json_response(status, document)
+        return json_response(status, {"attempt": "q1"} | document)
 
     async def body(client: HttpTargetClient, server: Server) -> None:
         outcome = (await client.run(SEARCH, 1.0, admit_always)).outcome
@@ -170,7 +176,9 @@
     async def respond(req: web.Request) -> web.Response:
         if len(server_paths(req)) > 1:
             req.transport.abort()
-        return json_response(200, {"result": "ok", "healthy": True})
+        return json_response(
+            200, {"attempt": "m1", "result": "ok", "healthy": True}
+        )
 
     def server_paths(req: web.Request) -> list[str]:
         return servers[0].paths
@@ -316,7 +324,8 @@
 
     async def respond(req: web.Request) -> web.Response:
         return json_response(
-            200, {"cancelled": cancelled, "incarnation": "i1"}
+            200,
+            {"attempt": "q1", "cancelled": cancelled, "incarnation": "i1"},
         )
 
     async def body(client: HttpTargetClient, server: Server) -> None:
@@ -358,7 +367,7 @@
     """
 
     async def fail(
-        self, method: str, path: str, timeout_s: float, body=None
+        self, method: str, path: str, attempt: str, timeout_s: float, body=None
     ) -> None:
         if body is not None:
             body.is_sent = is_sent
--- a/packages/kumquatchuted/src/kumquatchuted/target_http/wire.py
+++ b/packages/kumquatchuted/src/kumquatchuted/target_http/wire.py
@@ -1,4 +1,9 @@
-"""JSON bodies of the HTTP protocol of searchers."""
+"""JSON bodies of the HTTP protocol of searchers.
+
+Every response repeats the ``attempt`` of its request, in its body. This alone
+shows to which request a response belongs: a searcher can send a second copy of
+a response, which then arrives while another request is pending.
+"""
 
 from dataclasses import dataclass
 
@@ -8,6 +13,16 @@
 MAX_RESPONSE_BYTES = 1 << 20
 
 
+@dataclass(frozen=True)
+class ResponseOwner:
+    """The part of every response body that names its request.
+
+    :param attempt: attempt of the request, empty if the body names none
+    """
+
+    attempt: str = ""
+
+
 @dataclass(frozen=True)
 class SearchRequestBody:
     """Body of ``POST /search``."""
--- a/packages/kumquatchuted/src/kumquatchuted/targets/client.py
+++ b/packages/kumquatchuted/src/kumquatchuted/targets/client.py
@@ -57,6 +57,14 @@
     """No complete response arrived in time, after bytes were sent."""
 
 
+@dataclass(frozen=True)
+class Unproven:
+    """A response came that names no request or another one.
+
+    The searcher may still run the attempt.
+    """
+
+
 @dataclass(frozen=True)
 class NotSent:
     """The attempt ended before any byte was sent."""
@@ -68,6 +76,7 @@
     | NotConnected
     | Disconnected
     | TimedOut
+    | Unproven
     | Aborted
     | NotSent
 )
--- a/packages/kumquatchuted/src/kumquatchuted/targets/state.py
+++ b/packages/kumquatchuted/src/kumquatchuted/targets/state.py
@@ -22,6 +22,7 @@
 from kumquatchuted.targets.client import Rejected
 from kumquatchuted.targets.client import Report
 from kumquatchuted.targets.client import TimedOut
+from kumquatchuted.targets.client import Unproven
 from kumquatchuted.targets import estimate
 from kumquatchuted.targets.estimate import LatencyEstimate
 from kumquatchuted.targets import limiter
@@ -250,6 +251,8 @@
             return warmup.ConnectionLost()
         case TimedOut():
             return warmup.AttemptTimedOut(generation, elapsed_s)
+        case Unproven():
+            return warmup.AttemptUnproven(generation)
         case Aborted():
             return warmup.AttemptAborted(generation, elapsed_s)
         case NotSent():
--- a/packages/kumquatchuted/src/kumquatchuted/targets/target_task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/targets/target_task.py
@@ -32,6 +32,7 @@
 from kumquatchuted.targets.client import NotSent
 from kumquatchuted.targets.client import TargetClient
 from kumquatchuted.targets.client import TimedOut
+from kumquatchuted.targets.client import Unproven
 from kumquatchuted.targets import limiter
 from kumquatchuted.targets.limiter import AttemptKey
 from kumquatchuted.targets.messages import AttemptDone
@@ -320,7 +321,9 @@
 
 def _may_still_run(result: AttemptResult) -> bool:
     """Return True if the searcher may still be running the attempt."""
-    return isinstance(result.exchange, TimedOut | Disconnected | Aborted)
+    return isinstance(
+        result.exchange, TimedOut | Disconnected | Unproven | Aborted
+    )
 
 
 def _unread_messages(mailbox: Mailbox) -> Iterator[Any]:
--- a/packages/kumquatchuted/src/kumquatchuted/targets/tests/fakes_targets.py
+++ b/packages/kumquatchuted/src/kumquatchuted/targets/tests/fakes_targets.py
@@ -26,6 +26,7 @@
 from kumquatchuted.targets.client import Rejected
 from kumquatchuted.targets.client import Report
 from kumquatchuted.targets.client import TimedOut
+from kumquatchuted.targets.client import Unproven
 from kumquatchuted.targets.messages import Attempt
 from kumquatchuted.targets.messages import AttemptDone
 from kumquatchuted.targets.messages import AttemptFailed
@@ -51,6 +52,8 @@
     :param work_s: time for one attempt in seconds
     :param process: number of the process, incremented by a restart
     :param accepts_cancels: it stops an attempt when asked to
+    :param repeats_responses: each attempt gets a copy of an earlier response
+        at once, while it runs
     :param running: attempts in progress
     :param answers: number of complete responses to each client since the
         start
@@ -65,6 +68,7 @@
     healthy: bool = True
     draining: bool = False
     accepts_cancels: bool = True
+    repeats_responses: bool = False
     running: dict[str, asyncio.Future] = field(default_factory=dict)
     answers: dict[Any, int] = field(default_factory=dict)
     started: list[tuple[float, str]] = field(default_factory=list)
@@ -169,6 +173,14 @@
             return _failed_attempt(
                 attempt, ErrorKind.TARGET_SHED, True, draining
             )
+        if target.repeats_responses:
+            task = asyncio.create_task(
+                target.run_attempt(self, attempt.attempt, timeout_s)
+            )
+            await asyncio.sleep(NETWORK_S)
+            task.cancel()
+            kind = ErrorKind.TARGET_FAILED
+            return _failed_attempt(attempt, kind, False, Unproven())
         try:
             async with asyncio.timeout(timeout_s):
                 await target.run_attempt(self, attempt.attempt, timeout_s)
--- a/packages/kumquatchuted/src/kumquatchuted/targets/tests/test_targets_task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/targets/tests/test_targets_task.py
@@ -599,3 +599,26 @@
         assert isinstance(node.outcomes()["q2"][0], SearchResult)
 
     with_node(body)
+
+
+def test_attempt_that_got_a_foreign_response_keeps_its_slot():
+    """Guards against overload of a searcher that repeats responses.
+
+    The copy of an earlier response arrives while the attempt runs.
+    """
+
+    async def body(node: FakeNode) -> None:
+        node.target.work_s = 0.3
+        node.target.repeats_responses = True
+        node.target.accepts_cancels = False
+        await asyncio.sleep(0.1)
+        for number in range(2):
+            node.post_search_attempt(f"q{number}")
+        await asyncio.sleep(0.2)
+        (failed,) = node.outcomes()["q0"]
+        assert not failed.not_run
+        assert node.target.started_attempts() == {"q0"}
+        await asyncio.sleep(2)
+        assert node.target.overloads == []
+
+    with_node(body)
--- a/packages/kumquatchuted/src/kumquatchuted/targets/tests/test_warmup.py
+++ b/packages/kumquatchuted/src/kumquatchuted/targets/tests/test_warmup.py
@@ -10,6 +10,7 @@
 from kumquatchuted.targets.warmup import AttemptCompleted
 from kumquatchuted.targets.warmup import AttemptRejected
 from kumquatchuted.targets.warmup import AttemptTimedOut
+from kumquatchuted.targets.warmup import AttemptUnproven
 from kumquatchuted.targets.warmup import ConnectionLost
 from kumquatchuted.targets.warmup import Event
 from kumquatchuted.targets.warmup import limit
@@ -44,7 +45,8 @@
 
 
 @pytest.mark.parametrize(
-    "event", [AttemptRejected(0, "i1"), AttemptTimedOut(0, 0.1)]
+    "event",
+    [AttemptRejected(0, "i1"), AttemptTimedOut(0, 0.1), AttemptUnproven(0)],
 )
 def test_failure_restarts_the_success_count(event):
     """Guards against counting successes that are not consecutive.
@@ -81,6 +83,17 @@
     assert limit(state_after(WARM_STATE, event), SEARCHER) == 1
 
 
+def test_unproven_response_does_not_show_which_process_runs():
+    """Guards against full load on a searcher whose process is not known.
+
+    A response that belongs to no known request may be that of another process.
+    """
+    unverified = state_after(WARM_STATE, Reconnecting())
+    generation = unverified.generation
+    after = state_after(unverified, AttemptUnproven(generation))
+    assert limit(after, SEARCHER) == 1
+
+
 def test_old_responses_do_not_warm_up_a_cold_searcher():
     """Guards against counting responses of the previous process.
 
--- a/packages/kumquatchuted/src/kumquatchuted/targets/warmup.py
+++ b/packages/kumquatchuted/src/kumquatchuted/targets/warmup.py
@@ -109,6 +109,16 @@
     waited_s: float
 
 
+@dataclass(frozen=True)
+class AttemptUnproven:
+    """An attempt got a response that is not shown to be its own.
+
+    It counts as a failure, and does not show which process runs.
+    """
+
+    generation: int
+
+
 @dataclass(frozen=True)
 class AttemptAborted:
     """An attempt was cancelled because its outcome was not needed.
@@ -161,6 +171,7 @@
     AttemptCompleted
     | AttemptRejected
     | AttemptTimedOut
+    | AttemptUnproven
     | AttemptAborted
     | ConnectionLost
     | LoadReported
@@ -222,6 +233,7 @@
             | LoadReported()
             | AttemptRejected()
             | AttemptTimedOut()
+            | AttemptUnproven()
             | AttemptAborted()
         ) if event.generation != warmup.generation:
             # Sent before the searcher turned cold, so it gives no information
@@ -237,6 +249,8 @@
             return _on_rejected(_with_incarnation(warmup, event), event)
         case AttemptTimedOut(waited_s=waited_s):
             return _on_timed_out(warmup, waited_s)
+        case AttemptUnproven():
+            return replace(warmup, phase=_without_successes(warmup.phase))
         case AttemptAborted(waited_s=waited_s):
             return _on_aborted(warmup, waited_s)
 
