Reject deeply nested messages in every codec

What callers saw: one message of about 5 kB from a searcher, from another node or from the store could end a node and all requests that it served.

Cause: for deeply nested values, also in fields that it skips, msgspec raises RecursionError, and most codecs caught DecodeError alone. The error ended the peer task, a target task or a request task, and with it the process.

Change: kumquatchute_model.decode_errors owns DECODE_ERRORS, which was defined in platform/wire.py and in catalog/codec.py, and the codecs of the daemon, the command line and the stand-in searcher use it. placement/codec.py raises its DecodeError for all of them. A rejected partial query is logged with the address of its sender.

--- a/packages/kumquatchute-model/src/kumquatchute_model/search_codec.py
+++ b/packages/kumquatchute-model/src/kumquatchute_model/search_codec.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.query import Coverage
@@ -66,7 +67,7 @@
     """
     try:
         wire = msgspec.json.decode(body, type=SearchAnswerBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         return Failure(ErrorKind.MALFORMED, f"not a search answer: {exc}")
     coverage = wire.coverage
     return SearchAnswer(
--- a/packages/kumquatchute-model/src/kumquatchute_model/ticket_codec.py
+++ b/packages/kumquatchute-model/src/kumquatchute_model/ticket_codec.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.ticket import DcState
@@ -201,7 +202,7 @@
         )
     try:
         return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         return _malformed(str(exc))
 
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/codec.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/codec.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_standins.searcher.controls import ClearRecords
 from kumquatchute_standins.searcher.controls import Control
 from kumquatchute_standins.searcher.controls import FleetControl
@@ -41,7 +42,7 @@
     """Decode the body of a call; a malformed one gives ``Refused``."""
     try:
         return msgspec.json.decode(body, type=call_type)
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return Refused(400, "malformed", str(exc))
 
 
@@ -60,7 +61,7 @@
     except KeyError:
         known = ", ".join(CONTROLS)
         return Refused(400, "malformed", f"do must be one of {known}")
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return Refused(400, "malformed", str(exc))
 
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/tests/test_searcher_server.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/searcher/tests/test_searcher_server.py
@@ -447,3 +447,15 @@
         assert (await fleet.records("a")).executed == ("x1",)
 
     run(scenario)
+
+
+@pytest.mark.parametrize("path", ["/search", "/submit", "/cancel", "/control"])
+def test_deeply_nested_call_is_refused(path):
+    """Guards against an internal error for a call that cannot be decoded."""
+
+    async def scenario(fleet, http):
+        deep = b'{"other":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
+        resp = await http.post(path, data=deep)
+        assert (resp.status, (await resp.json())["kind"]) == (400, "malformed")
+
+    run(scenario)
--- a/packages/kumquatchute/src/kumquatchute/client.py
+++ b/packages/kumquatchute/src/kumquatchute/client.py
@@ -14,6 +14,7 @@
 from kumquatchute.connection import ConnectionOptions
 from kumquatchute.results import NodeStatusResult
 from kumquatchute.results import TicketDetails
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.query import SearchAnswer
@@ -238,7 +239,7 @@
 def _decode_error(url: str, status: int, content: bytes) -> Failure:
     try:
         error = msgspec.json.decode(content, type=ErrorBody)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return _unknown_outcome(
             f"{url} answered HTTP status {status} without a reason"
         )
@@ -257,7 +258,7 @@
         return response
     try:
         return msgspec.json.decode(response, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         reason = f"the answer of the node is not valid: {exc}"
         return (
             _unknown_outcome(reason)
--- a/packages/kumquatchuted/src/kumquatchuted/catalog/codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/catalog/codec.py
@@ -9,14 +9,13 @@
 
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.shards import ShardMap
 
 SHARD_MAP_PREFIX = "shardmap-"
 
-DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
-
 
 def decode_shard_map(name: str, body: bytes) -> ShardMap | Failure:
     """Decode and check the spec of a shard map.
--- a/packages/kumquatchuted/src/kumquatchuted/front/app.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/app.py
@@ -273,7 +273,11 @@
                     message = decode_partial_request(data)
             match message:
                 case Failure(reason=reason):
-                    log.warning("partial query rejected cause={}", reason)
+                    log.warning(
+                        "partial query rejected address={} cause={}",
+                        req.remote_addr,
+                        reason,
+                    )
                     resp.status = ERROR_STATUSES[message.kind].http_status
                 case PartialQueryRequest():
                     response = await self._serve(message)
--- a/packages/kumquatchuted/src/kumquatchuted/http/calls.py
+++ b/packages/kumquatchuted/src/kumquatchuted/http/calls.py
@@ -8,6 +8,7 @@
 from logbook import Logger
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.settings import Role
 from kumquatchute_model.settings import ServiceSettings
@@ -99,7 +100,7 @@
         return body
     try:
         return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         return malformed(str(exc))
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/http/tests/test_http_task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/http/tests/test_http_task.py
@@ -204,6 +204,26 @@
     assert (status, body["kind"], body["not_run"]) == (400, "malformed", True)
 
 
+@pytest.mark.parametrize(
+    ("path", "bearer"),
+    [
+        (SEARCH_PATH, CALLER_TOKEN),
+        (SUBMIT_PATH, CALLER_TOKEN),
+        ("/v1/tickets", OPERATOR_TOKEN),
+    ],
+)
+def test_deeply_nested_body_is_refused(path, bearer):
+    """Guards against an internal error for a body that cannot be decoded."""
+    _, body = send_refused(
+        method="POST",
+        path=path,
+        bearer=bearer,
+        data=b"[" * 5_000 + b"]" * 5_000,
+        headers={"Idempotency-Key": KEY},
+    )
+    assert (body["kind"], body["not_run"]) == (MALFORMED.value, True)
+
+
 @pytest.mark.parametrize(
     ("path", "bearer", "kind"),
     [
--- a/packages/kumquatchuted/src/kumquatchuted/partials/codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/codec.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchuted.partials.messages import PartialQueryRequest
@@ -44,7 +45,7 @@
 ) -> PartialQueryRequest | PartialQueryResponse | Failure:
     try:
         return decoder.decode(data)
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return Failure(
             ErrorKind.MALFORMED, f"invalid message of a node: {exc}"
         )
--- a/packages/kumquatchuted/src/kumquatchuted/peers/codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/peers/codec.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.ticket_codec import ticket_from_wire
@@ -87,7 +88,7 @@
         if decoder is None:
             return Failure(ErrorKind.MALFORMED, f"unknown message {tag!r}")
         return _from_wire(tag, decoder.decode(body))
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return Failure(ErrorKind.MALFORMED, f"malformed message: {exc}")
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/placement/codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/placement/codec.py
@@ -1,7 +1,10 @@
 """JSON encoding of the membership and lease objects in the store."""
 
+from typing import Any
+
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchuted.placement.messages import Membership
 from kumquatchuted.placement.messages import NodeLease
 
@@ -22,7 +25,7 @@
 
     :raises DecodeError: the body is not a valid membership
     """
-    return _membership.decode(body)
+    return _decode(_membership, body)
 
 
 def decode_lease(body: bytes) -> NodeLease:
@@ -30,4 +33,11 @@
 
     :raises DecodeError: the body is not a valid lease
     """
-    return _lease.decode(body)
+    return _decode(_lease, body)
+
+
+def _decode(decoder: msgspec.json.Decoder, body: bytes) -> Any:
+    try:
+        return decoder.decode(body)
+    except DECODE_ERRORS as exc:
+        raise DecodeError(str(exc)) from exc
--- a/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/object_client.py
@@ -11,6 +11,7 @@
 from logbook import Logger
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchuted.membership.messages import DecodedObject
@@ -33,7 +34,6 @@
 from kumquatchuted.platform.transport import Request
 from kumquatchuted.platform.transport import Response
 from kumquatchuted.platform.transport import Transport
-from kumquatchuted.platform.wire import DECODE_ERRORS
 from kumquatchuted.platform.wire import decode_events
 from kumquatchuted.platform.wire import decode_page
 from kumquatchuted.platform.wire import Item
--- a/packages/kumquatchuted/src/kumquatchuted/platform/object_store.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/object_store.py
@@ -9,6 +9,7 @@
 from logbook import Logger
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.settings import PlatformSettings
 from kumquatchuted.platform.outcomes import ErrorResponse
@@ -25,7 +26,6 @@
 from kumquatchuted.platform.transport import Request
 from kumquatchuted.platform.transport import Response
 from kumquatchuted.platform.transport import Transport
-from kumquatchuted.platform.wire import DECODE_ERRORS
 from kumquatchuted.platform.wire import decode_events
 from kumquatchuted.platform.wire import decode_object
 from kumquatchuted.platform.wire import decode_page
--- a/packages/kumquatchuted/src/kumquatchuted/platform/searcher_entries.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/searcher_entries.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from kumquatchute_model.address import parse_address
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.shards import Searcher
@@ -13,7 +14,6 @@
 from kumquatchuted.membership.messages import SearcherState
 from kumquatchuted.platform.decoding import decode_state
 from kumquatchuted.platform.decoding import SearcherSpec
-from kumquatchuted.platform.wire import DECODE_ERRORS
 
 # Concurrent requests to a cold searcher, unless its entry states a limit.
 DEFAULT_COLD_SLOTS = 1
--- a/packages/kumquatchuted/src/kumquatchuted/platform/wire.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/wire.py
@@ -14,11 +14,10 @@
 
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchuted.platform.json_spans import split_array
 from kumquatchuted.platform.json_spans import split_object
 
-DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
-
 
 @dataclass(frozen=True)
 class Item:
--- a/packages/kumquatchuted/src/kumquatchuted/submission/codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/submission/codec.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchuted.submission.record import Record
 
 MAX_RECORD_BYTES = 900_000
@@ -16,5 +17,5 @@
     """Return the record in a JSON document, None if it is malformed."""
     try:
         return msgspec.json.decode(body, type=Record)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
--- a/packages/kumquatchuted/src/kumquatchuted/target_http/responses.py
+++ b/packages/kumquatchuted/src/kumquatchuted/target_http/responses.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchuted.target_http.wire import CancelResponseBody
@@ -61,7 +62,7 @@
     """
     try:
         return msgspec.json.decode(response.body, type=kind)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/tickets/codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/tickets/codec.py
@@ -14,6 +14,7 @@
 import msgspec
 import xxhash
 
+from kumquatchute_model.decode_errors import DECODE_ERRORS
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchute_model.ticket import Ticket
@@ -218,7 +219,7 @@
 def _decode(body: bytes, struct_type: type) -> Any:
     try:
         return msgspec.json.decode(body, type=struct_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         return _internal_failure(str(exc))
 
 
