Reject numbers of other nodes that are not finite

What was seen: a partial query whose answer_ms is not a number made the node that served it read its clock 62,246 times in 1 s, on a whole processor, until the other node disconnected.

Cause: a deadline that is not a number is never reached, and the time until it gives no pause. MessagePack carries such numbers. Attempts and times of sending from other nodes were not checked either: an attempt whose budget is not a number never expires, and such a time of sending hides the delay of all later messages of its sender.

Change: the decoders of partial queries and of peer messages reject numbers that are not finite with kind MALFORMED. JSON needs no check: msgspec rejects NaN, Infinity and numbers out of range.

--- a/packages/kumquatchuted/src/kumquatchuted/partials/codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/codec.py
@@ -1,5 +1,7 @@
 """MessagePack encoding of the messages of partial queries."""
 
+import math
+
 import msgspec
 
 from kumquatchute_model.decode_errors import DECODE_ERRORS
@@ -27,9 +29,27 @@
 def decode_partial_request(data: bytes) -> PartialQueryRequest | Failure:
     """Decode a request of another node.
 
-    :returns: ``Failure`` of kind ``MALFORMED`` if the bytes are no request
+    :returns: ``Failure`` of kind ``MALFORMED`` if the bytes are no request, or
+        one with a number that is not finite
     """
-    return _decode(_request_decoder, data)
+    req = _decode(_request_decoder, data)
+    # A deadline that is not a number is never reached, and no time until it
+    # can be waited for.
+    if isinstance(req, PartialQueryRequest) and not _is_finite(req):
+        return Failure(
+            ErrorKind.MALFORMED, "invalid message of a node: not finite"
+        )
+    return req
+
+
+def _is_finite(req: PartialQueryRequest) -> bool:
+    numbers = (
+        req.objective_ms,
+        req.answer_ms,
+        req.latest_ms,
+        req.min_coverage,
+    )
+    return all(map(math.isfinite, numbers))
 
 
 def decode_partial_response(data: bytes) -> PartialQueryResponse | Failure:
--- a/packages/kumquatchuted/src/kumquatchuted/peers/codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/peers/codec.py
@@ -1,5 +1,8 @@
 """Encoding of messages between nodes: a type tag and a body in msgpack."""
 
+from collections.abc import Iterator
+import math
+
 import msgspec
 
 from kumquatchute_model.decode_errors import DECODE_ERRORS
@@ -78,7 +81,7 @@
     """Decode a peer message.
 
     :returns: the frozen data class, or a failure if the input is unknown,
-        malformed or oversized
+        malformed or oversized, or has a number that is not finite
     """
     if len(data) > MAX_MESSAGE_BYTES:
         return Failure(ErrorKind.TOO_LARGE, "oversized message from a peer")
@@ -87,9 +90,28 @@
         decoder = _DECODERS.get(tag)
         if decoder is None:
             return Failure(ErrorKind.MALFORMED, f"unknown message {tag!r}")
-        return _from_wire(tag, decoder.decode(body))
+        message = _from_wire(tag, decoder.decode(body))
     except DECODE_ERRORS as exc:
         return Failure(ErrorKind.MALFORMED, f"malformed message: {exc}")
+    # A budget that is not a number never expires, and such a time of sending
+    # would make the delays of all later messages of its sender unknown.
+    if not all(map(math.isfinite, _numbers_of(message))):
+        return Failure(ErrorKind.MALFORMED, f"{tag} with no finite number")
+    return message
+
+
+def _numbers_of(message: object) -> Iterator[float]:
+    match message:
+        case Ping(sent_at=sent_at) | Pong(sent_at=sent_at):
+            yield sent_at
+        case AttemptBatch(sent_at=sent_at):
+            yield sent_at
+            for attempt in (*message.searches, *message.submissions):
+                yield attempt.budget_ms
+        case OutcomeBatch(results=results):
+            for result in results:
+                for hit in result.hits:
+                    yield hit.score
 
 
 def _to_wire(message: object) -> object:
