Go on dispatching attempts after an unexpected error

What was seen: DispatchTask.run did not use handle_messages, so that one unexpected error in the handling of one message ended the task and with it the node and all its requests. No such message is known; another node or a later change could send it.

Evidence: test_unexpected_error_does_not_end_the_task of test_dispatch.py failed before: no attempt of the same batch was sent.

Change: handle_message, which handle_messages repeats, handles one message; the dispatch task calls it for each message of a batch. The node counts such errors as kumquatchute_events_total{event="unhandled"}, as the gateway does.

The other tasks of kumquatchuted (placement, tickets, targets, search, submission, catalog, drain, http, peers) still end with the process; they are not changed here.

--- a/packages/kumquatchuted/src/kumquatchuted/compose.py
+++ b/packages/kumquatchuted/src/kumquatchuted/compose.py
@@ -194,7 +194,11 @@
     placement = _build_placement(context, placement_store)
     targets = _build_targets(context)
     dispatch = DispatchTask(
-        context.local.node, targets.mailbox.post, bus.post, clock
+        context.local.node,
+        targets.mailbox.post,
+        bus.post,
+        clock,
+        context.metrics.count,
     )
     search = _build_search(context, dispatch.mailbox.post)
     submission = _build_submission(
--- a/packages/kumquatchuted/src/kumquatchuted/mailbox.py
+++ b/packages/kumquatchuted/src/kumquatchuted/mailbox.py
@@ -68,13 +68,24 @@
     :param count_event: counts an event by its name and a label
     """
     while True:
-        message = await mailbox.get()
-        try:
-            handle(message)
-        except Exception:
-            kind = type(message).__name__
-            log.exception("message not handled message={}", kind)
-            count_event("unhandled", kind)
+        handle_message(await mailbox.get(), handle, count_event)
+
+
+def handle_message(
+    message: Any,
+    handle: Callable[[Any], None],
+    count_event: Callable[[str, str], None],
+) -> None:
+    """Handle a message; an unexpected error is logged and counted.
+
+    :param count_event: counts an event by its name and a label
+    """
+    try:
+        handle(message)
+    except Exception:
+        kind = type(message).__name__
+        log.exception("message not handled message={}", kind)
+        count_event("unhandled", kind)
 
 
 async def ask(post: Post, request: Any) -> Any:
--- a/packages/kumquatchuted/src/kumquatchuted/metrics.py
+++ b/packages/kumquatchuted/src/kumquatchuted/metrics.py
@@ -82,6 +82,12 @@
             ["kind"],
             registry=self._registry,
         )
+        self._events = Counter(
+            "kumquatchute_events",
+            "Unexpected events, by event and label.",
+            ["event", "label"],
+            registry=self._registry,
+        )
         self._cold_peaks: dict[str, int] = {}
 
     def add_latency(self, service: str, latency_s: float) -> None:
@@ -111,6 +117,14 @@
         """Count a failed request."""
         self._refusals.labels(kind.value).inc()
 
+    def count(self, event: str, label: str) -> None:
+        """Count an event.
+
+        :param label: type of a message or the like; the number of different
+            labels must be bounded
+        """
+        self._events.labels(event, label).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self._registry)
--- a/packages/kumquatchuted/src/kumquatchuted/peers/dispatch.py
+++ b/packages/kumquatchuted/src/kumquatchuted/peers/dispatch.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from kumquatchute_model.errors import ErrorKind
+from kumquatchuted.mailbox import handle_message
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.mailbox import Post
 from kumquatchuted.peers.delay import DelayReference
@@ -77,6 +78,7 @@
     :param targets: posts to the targets task
     :param peers: posts to the peer task
     :param clock: returns monotonic time in seconds
+    :param count_event: counts an event by its name and a label
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         targets: Post,
         peers: Post,
         clock: Callable[[], float],
+        count_event: Callable[[str, str], None] = lambda event, label: None,
     ) -> None:
         """Create the task; ``run`` starts it."""
         self.mailbox = Mailbox()
@@ -92,6 +95,7 @@
         self._targets = targets
         self._peers = peers
         self._clock = clock
+        self._count_event = count_event
         self._pending: dict[str, PendingAttempt] = {}
         self._clock_references: dict[PeerIdentity, DelayReference] = {}
         self._linked_nodes: set[str] = set()
@@ -107,17 +111,20 @@
         """Handle messages until cancelled.
 
         Queued messages are handled before anything is sent, so that attempts
-        for the same owner share one message.
+        for the same owner share one message. An unexpected error ends the
+        handling of its message only.
         """
         async with asyncio.TaskGroup() as group:
             group.create_task(self._post_expiry_checks())
             while True:
-                self._handle(await self.mailbox.get())
+                message = await self.mailbox.get()
+                handle_message(message, self._handle, self._count_event)
                 for _ in range(MAX_BATCH_ITEMS):
                     try:
-                        self._handle(self.mailbox.get_nowait())
+                        message = self.mailbox.get_nowait()
                     except asyncio.QueueEmpty:
                         break
+                    handle_message(message, self._handle, self._count_event)
                 self._flush()
 
     async def _post_expiry_checks(self) -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/peers/tests/test_dispatch.py
+++ b/packages/kumquatchuted/src/kumquatchuted/peers/tests/test_dispatch.py
@@ -81,6 +81,32 @@
     assert len(harness.peers[0].message.searches) == 2
 
 
+@pytest.mark.report("one message ends a process")
+def test_unexpected_error_does_not_end_the_task():
+    """Guards against one message that ends the process of the node.
+
+    The messages that follow it, in the same batch too, are handled, and their
+    attempts are sent.
+    """
+
+    def fail(message):
+        raise ValueError("unexpected")
+
+    harness = Harness()
+    harness.task = DispatchTask(
+        "n1", fail, harness.peers.append, lambda: 100.0
+    )
+    local = SendAttempt("n1", search_attempt("a1"), 101.0, lambda _: None)
+    harness.handle(
+        LinkUp("n2", "i"), local, harness.make_send_attempt("a2"), local
+    )
+    assert [
+        attempt.attempt for attempt in harness.peers[0].message.searches
+    ] == ["a2"]
+    harness.handle(harness.make_send_attempt("a3"))
+    assert len(harness.peers) == 2
+
+
 @pytest.mark.proves("search: send", "node killed")
 def test_attempt_without_a_link_is_not_run():
     """Guards against waiting until the deadline for an attempt never sent.
