--- a/packages/kumquatchute-standins/src/kumquatchute_standins/demo/tests/test_site_submissions.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/demo/tests/test_site_submissions.py
@@ -57,6 +57,7 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.report("late copy of an answer")
 @pytest.mark.parametrize("delay_ms", [1, 10])
 def test_second_copies_of_responses_are_no_results_of_submissions(
     tmp_path, delay_ms
--- a/packages/kumquatchuted/src/kumquatchuted/peers/tests/test_malformed_messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/peers/tests/test_malformed_messages.py
@@ -21,6 +21,7 @@
 DEEP_LIST = b"\x91" * 5_000 + b"\x90"
 
 
+@pytest.mark.report("one message ends a process")
 @pytest.mark.parametrize("kind", PEER_MESSAGES)
 def test_deeply_nested_message_is_rejected(kind: type) -> None:
     """Guards against one message of a node that ends this process.
--- a/packages/kumquatchuted/src/kumquatchuted/target_http/tests/test_late_copies.py
+++ b/packages/kumquatchuted/src/kumquatchuted/target_http/tests/test_late_copies.py
@@ -116,6 +116,7 @@
     return {"attempt": name, "result": name}
 
 
+@pytest.mark.report("late copy of an answer")
 @pytest.mark.parametrize("copy_delay_s", [0.0, 0.02])
 def test_copy_of_a_search_response_is_not_the_next_result(
     copy_delay_s: float,
@@ -131,6 +132,7 @@
     assert [result.outcome.documents for result in results] == [666, 7]
 
 
+@pytest.mark.report("late copy of an answer")
 @pytest.mark.parametrize("copy_delay_s", [0.0, 0.02])
 def test_copy_of_a_submission_result_is_not_the_next_result(
     copy_delay_s: float,
@@ -149,6 +151,7 @@
     assert arrived == [FIRST, SECOND]
 
 
+@pytest.mark.report("late copy of an answer")
 @pytest.mark.parametrize("copy_delay_s", [0.0, 0.02])
 def test_copy_of_a_refusal_does_not_mark_a_submission_not_run(
     copy_delay_s: float,
@@ -168,6 +171,7 @@
     assert arrived == [FIRST, SECOND]
 
 
+@pytest.mark.report("late copy of an answer")
 @pytest.mark.parametrize(
     "status,document",
     [
--- a/packages/kumquatchuted/src/kumquatchuted/target_http/tests/test_malformed_responses.py
+++ b/packages/kumquatchuted/src/kumquatchuted/target_http/tests/test_malformed_responses.py
@@ -16,6 +16,7 @@
 DEEP_DOCUMENT = b'{"other":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
 
 
+@pytest.mark.report("one message ends a process")
 @pytest.mark.parametrize("status", [200, 409, 500, 503])
 def test_deeply_nested_response_fails_only_its_attempt(status: int) -> None:
     """Guards against one response that ends the process of the node.
