Report a result for every partial query

What was seen: an unexpected error in PartialsTask._run_query left the query without PartialQueryDone, so that it waited for its shards until its deadline; an unexpected error in the handling of one message ended PartialsTask and with it the node.

Change: the error counts as a lost partial query that the other node may have run, and as kumquatchute_events{event="unhandled"}; PartialsTask.run uses handle_messages.

Result: the tests of partials, gather and gateway pass.

--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -12,6 +12,7 @@
 from kumquatchute_model.errors import ErrorKind
 from kumquatchute_model.errors import Failure
 from kumquatchuted.gateway.settings import GatewaySettings
+from kumquatchuted.mailbox import handle_messages
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.membership.messages import MembersChanged
 from kumquatchuted.membership.messages import Node
@@ -83,26 +84,28 @@
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
-        while True:
-            match await self.mailbox.get():
-                case SendPartialQuery() as query:
-                    self._start_query(query)
-                case AbandonPartialQuery(key=key):
-                    task = self._query_tasks.pop(key, None)
-                    if task is not None:
-                        task.cancel()
-                case MembersChanged(nodes=nodes):
-                    self._nodes = {
-                        name: node
-                        for name, node in nodes.items()
-                        if name != self._cfg.node
-                    }
+        await handle_messages(self.mailbox, self._handle, self._count_event)
 
     async def close(self) -> None:
         """Close all connections."""
         if self._session is not None:
             await self._session.close()
 
+    def _handle(self, message: object) -> None:
+        match message:
+            case SendPartialQuery() as query:
+                self._start_query(query)
+            case AbandonPartialQuery(key=key):
+                task = self._query_tasks.pop(key, None)
+                if task is not None:
+                    task.cancel()
+            case MembersChanged(nodes=nodes):
+                self._nodes = {
+                    name: node
+                    for name, node in nodes.items()
+                    if name != self._cfg.node
+                }
+
     def _start_query(self, query: SendPartialQuery) -> None:
         node = choose_node(
             (
@@ -129,6 +132,15 @@
         self._add_pending(node, 1)
         try:
             result = await self._request_partial(node, query)
+        except Exception as exc:
+            # Without a result, the query would wait for its shards.
+            log.exception(
+                "message not handled message={}", type(query).__name__
+            )
+            self._count_event("unhandled", type(query).__name__)
+            result = NoResponse(
+                f"unexpected {type(exc).__name__}", was_sent=True
+            )
         finally:
             self._add_pending(node, -1)
         self._query_tasks.pop(query.key, None)
