Show stalls and statuses beside the waits of the relay case

The line of a run could not tell the node's waiting from that of the case. It now states the longest time for which the case itself stood still, and a wait states the status and the latency of its request.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/__main__.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/__main__.py
@@ -73,8 +73,9 @@
             )
         for wait in result.waits:
             print(
-                f"  {wait.request_id}: waited {wait.wait_s:.3f} s after an"
-                " answer of a searcher",
+                f"  {wait.request_id}: status {wait.status},"
+                f" {wait.latency_s:.3f} s after the request,"
+                f" {wait.wait_s:.3f} s after an answer of a searcher",
                 file=sys.stderr,
             )
     sys.exit(1 if is_wrong else 0)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/checks.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/checks.py
@@ -54,10 +54,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Wait:
-    """Time between a searcher's answer and the response, in seconds."""
+    """Time between a searcher's answer and the response, in seconds.
+
+    :param status: of the response, None without one
+    :param latency_s: time since the request was sent, in seconds
+    """
 
     request_id: str
     wait_s: float
+    status: int | None
+    latency_s: float
 
 
 def check_record(
@@ -122,8 +128,13 @@
         if record.call.may_repeat or not sent:
             continue
         wait_s = record.ended_at - sent[0].sent_at
-        if wait_s > LATE_S and record.ended_at - record.sent_at > LIMIT_S:
-            waits.append(Wait(record.call.request_id, wait_s))
+        latency_s = record.ended_at - record.sent_at
+        if wait_s > LATE_S and latency_s > LIMIT_S:
+            response = record.response
+            status = None if response is None else response.status
+            waits.append(
+                Wait(record.call.request_id, wait_s, status, latency_s)
+            )
     return waits
 
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/run.py
@@ -26,6 +26,7 @@
 SETTLE_S = 0.5
 MAX_SUSPENDED_S = 0.8
 SUSPENSION_GAP_S = 0.2
+STALL_CHECK_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +61,8 @@
     :param successes: responses with a status 2xx, also wrong ones
     :param right: successes that are not wrong
     :param waits: waits for the time limit after a searcher's answer
+    :param stall_s: longest time for which the callers and searchers of the
+        case did not run, in seconds; waits of this length are its own
     """
 
     case: Case
@@ -68,6 +71,7 @@
     right: int
     violations: tuple[Violation, ...]
     waits: tuple[Wait, ...]
+    stall_s: float
 
     def format_line(self) -> str:
         """Return the line that is printed for the run."""
@@ -81,6 +85,7 @@
             f" served={self.right / max(1, self.requests):.3f}"
             f" waited={len(self.waits)}"
             f" longest_wait_ms={1000 * longest_s:.0f}"
+            f" longest_stall_ms={1000 * self.stall_s:.0f}"
         )
 
 
@@ -112,11 +117,24 @@
         async with asyncio.TaskGroup() as tasks:
             for caller in callers:
                 tasks.create_task(caller.send_until(end))
+            stall = tasks.create_task(_measure_stall_s(end))
             if case.suspends:
                 tasks.create_task(_suspend_nodes(site, case.seed, end))
         await asyncio.sleep(SETTLE_S)
     records = [record for caller in callers for record in caller.records]
-    return _evaluate(case, site, records)
+    return _evaluate(case, site, records, stall.result())
+
+
+async def _measure_stall_s(end: float) -> float:
+    """Return how long the event loop stood still at most, in seconds.
+
+    :param end: time of the event loop until which it is watched, in seconds
+    """
+    loop, longest_s = asyncio.get_running_loop(), 0.0
+    while (started_at := loop.time()) < end:
+        await asyncio.sleep(STALL_CHECK_S)
+        longest_s = max(longest_s, loop.time() - started_at - STALL_CHECK_S)
+    return longest_s
 
 
 async def _suspend_nodes(site: FleetSite, seed: int, end: float) -> None:
@@ -131,7 +149,10 @@
 
 
 def _evaluate(
-    case: Case, site: FleetSite, records: list[CallRecord]
+    case: Case,
+    site: FleetSite,
+    records: list[CallRecord],
+    stall_s: float,
 ) -> CaseResult:
     run_counts = Counter(arrival.request_id for arrival in site.arrivals)
     checked = [
@@ -150,4 +171,5 @@
         successes.count(None),
         tuple(violations),
         tuple(find_waits(records, site.ledger)),
+        stall_s,
     )
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/tests/test_checks.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/tests/test_checks.py
@@ -136,6 +136,6 @@
     ledger.add(GOOD)
     record = relay(SUBMIT_PATH, 504, {}, b"")
     assert find_waits([replace(record, ended_at=2.0)], ledger) == [
-        Wait("q1", 2.0)
+        Wait("q1", 2.0, 504, 2.0)
     ]
     assert not find_waits([record], ledger)
