Play faults of single answers in the soak

The soak never played a missing id or digest, cut or late copies, answers without a length or failures with unusual statuses, and its checks compared an answer with what its digest names, not with what was sent.

Change: from seed 3,000,000 on, a plan draws two to four disturbances of answers on a searcher or its service, beside all others, and each node has two callers on kept connections, one of which sends up to three requests at once. All results are compared with the ledger. New faults of answers: failures of 28 statuses with and without a digest, and the id of another request. From seed 4,000,000 on, clients leave or reset inside a body. Proxies pass a reset on: an answer without a length that ended with a reset was whole behind a proxy.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/checks.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answer_checks.py
@@ -10,11 +10,11 @@
 from kumquatchute_standins.platform.fleet.answers import ID_HEADER
 from kumquatchute_standins.platform.fleet.answers import SentAnswer
 from kumquatchute_standins.platform.fleet.answers import STAMP_HEADER
+from kumquatchute_standins.platform.fleet.client import Response
+from kumquatchute_standins.platform.fleet.connection_callers import CallRecord
+from kumquatchute_standins.platform.fleet.connection_callers import DEADLINE_MS
+from kumquatchute_standins.platform.fleet.connection_callers import QUERY_PATH
 from kumquatchute_standins.platform.fleet.manifest import TOP_K
-from kumquatchute_standins.platform.fleet.relay.callers import CallRecord
-from kumquatchute_standins.platform.fleet.relay.callers import DEADLINE_MS
-from kumquatchute_standins.platform.fleet.relay.callers import QUERY_PATH
-from kumquatchute_standins.platform.fleet.relay.client import Response
 
 # Statuses which promise that the request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -73,40 +73,84 @@
 
     :param shards: services that a query covers
     """
-    response = record.response
+    call = record.call
+    covered = shards if call.path == QUERY_PATH else ()
+    return check_response(record.response, call.request_id, ledger, covered)
+
+
+def check_response(
+    response: Response | None,
+    request_id: str,
+    ledger: AnswerLedger,
+    shards: tuple[str, ...],
+) -> Violation | None:
+    """Compare a response with the answers that were sent to its request.
+
+    :param response: None is never wrong
+    :param shards: services that a query covers; empty for a request that
+        one searcher answers
+    """
     if response is None:
         return None
-    request_id = record.call.request_id
     sent = ledger.answers_to(request_id)
-    echoed = response.values(ID_HEADER.lower())
-    if any(value != request_id for value in echoed):
-        wrong = Wrong.OTHER_ID
-    elif not record.is_success():
-        wrong = _check_failure(response, sent)
-    elif record.call.path == QUERY_PATH:
-        wrong = _check_parts(response, sent, shards)
-    else:
-        wrong = _check_single(response, sent)
+    wrong = find_wrong(response, request_id, sent, shards)
     if wrong is None:
         return None
     return Violation(wrong, request_id, describe(response, sent))
 
 
+def find_wrong(
+    response: Response,
+    request_id: str,
+    sent: tuple[SentAnswer, ...],
+    shards: tuple[str, ...],
+) -> Wrong | None:
+    """Return what is wrong with a response.
+
+    :param sent: answers that were sent to the request
+    :param shards: services that a query covers; empty for a request that
+        one searcher answers
+    """
+    echoed = response.values(ID_HEADER.lower())
+    if any(value != request_id for value in echoed):
+        return Wrong.OTHER_ID
+    if not 200 <= response.status < 300:
+        return _check_failure(response, sent)
+    if shards:
+        return _check_parts(response, sent, shards)
+    return _check_single(response, sent)
+
+
 def check_runs(
     records: Iterable[CallRecord], run_counts: Counter[str]
 ) -> list[Violation]:
     """Report requests that may run only once and ran against a promise.
 
+    :param run_counts: how often each request id has run, over all searchers
+    """
+    return check_run_counts(
+        (
+            (record.call.request_id, record.status)
+            for record in records
+            if not record.call.may_repeat
+        ),
+        run_counts,
+    )
+
+
+def check_run_counts(
+    outcomes: Iterable[tuple[str, int | None]], run_counts: Counter[str]
+) -> list[Violation]:
+    """Report requests that ran twice, or contrary to their status.
+
+    :param outcomes: id and status of requests that may run only once; the
+        status is None without a response
     :param run_counts: how often each request id has run, over all searchers
     """
     violations = []
-    for record in records:
-        runs = run_counts[record.call.request_id]
-        if record.call.may_repeat:
-            continue
-        status = None if record.response is None else record.response.status
+    for request_id, status in outcomes:
+        runs = run_counts[request_id]
         detail = f"status {status}, runs {runs}"
-        request_id = record.call.request_id
         if runs > 1:
             violations.append(Violation(Wrong.RAN_TWICE, request_id, detail))
         if runs and status in NOT_RUN_STATUSES:
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answer_faults.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answer_faults.py
@@ -8,6 +8,12 @@
 MAX_COPY_DELAY_S = 0.2
 # Short enough that the next request on the connection is often pending.
 JOINED_COPY_DELAY_S = 0.02
+# Statuses that HTTP, a proxy in front of a searcher or the searcher itself
+# might give a request that has run. Those without a body are left out.
+FAILURE_STATUSES = (
+    *(300, 302, 307, 308, 400, 401, 403, 404, 405, 408, 409, 410, 411, 413),
+    *(414, 418, 421, 425, 429, 431, 499, 500, 501, 502, 503, 504, 505, 599),
+)
 
 
 class CopyPart(Enum):
@@ -61,6 +67,11 @@
     """The head does not echo the request id."""
 
 
+@dataclass(frozen=True, slots=True)
+class OtherId:
+    """The head names another request."""
+
+
 @dataclass(frozen=True, slots=True)
 class WithoutDigest:
     """The head has no digest."""
@@ -115,7 +126,7 @@
 
 
 Kind = Success | Failure | Refusal
-Head = WholeHead | WithoutId | WithoutDigest | TwoDigests
+Head = WholeHead | WithoutId | OtherId | WithoutDigest | TwoDigests
 Delivery = WholeDelivery | AfterInterim | SecondCopy | UntilClosed | BrokenOff
 
 
@@ -167,6 +178,14 @@
         AnswerPlan(Failure(status)) for status in (404, 410, 429, 500)
     ),
     "interim": (AnswerPlan(delivery=AfterInterim()),),
+    "failure-any": tuple(
+        AnswerPlan(Failure(status)) for status in FAILURE_STATUSES
+    ),
+    "failure-no-digest": tuple(
+        AnswerPlan(Failure(status), WithoutDigest())
+        for status in FAILURE_STATUSES
+    ),
+    "other-id": (AnswerPlan(head=OtherId()),),
 }
 
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answer_writer.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answer_writer.py
@@ -2,8 +2,6 @@
 
 import asyncio
 from random import Random
-import socket
-import struct
 
 from kumquatchute_standins.platform.fleet.answer_faults import AfterInterim
 from kumquatchute_standins.platform.fleet.answer_faults import BrokenOff
@@ -15,13 +13,12 @@
 from kumquatchute_standins.platform.fleet.answer_faults import UntilClosed
 from kumquatchute_standins.platform.fleet.answer_faults import WholeDelivery
 from kumquatchute_standins.platform.fleet.answers import Answer
+from kumquatchute_standins.platform.fleet.resets import reset_connection
 
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 PIECES_GAP_S = 0.01
 # A reset discards bytes that the other side has not read yet.
 RESET_DELAY_S = 0.005
-# Closing a socket with this option sends a reset.
-LINGER_WITH_RESET = struct.pack("ii", 1, 0)
 
 
 class AnswerWriter:
@@ -143,10 +140,3 @@
             case CopyPart.IN_BODY:
                 cut = self._rng.randrange(len(head), len(whole) + 1)
         return (whole[:cut],)
-
-
-def reset_connection(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_WITH_RESET)
-    writer.transport.abort()
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answers.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answers.py
@@ -85,6 +85,28 @@
     return f"{service}.{request_id}.{searcher}.{number}"
 
 
+def expect_answer(
+    stamp: str, service: str, request_id: str
+) -> SentAnswer | None:
+    """Return the good answer that a digest names.
+
+    :returns: None if it is no digest of the service for this request
+    """
+    if not is_stamp_of(stamp, service, request_id):
+        return None
+    return SentAnswer(
+        searcher=stamp.split(".")[-2],
+        service=service,
+        request_id=request_id,
+        status=200,
+        digest=stamp,
+        body=build_records(stamp),
+        is_good=True,
+        has_run=True,
+        sent_at=0.0,
+    )
+
+
 def is_stamp_of(stamp: str, service: str, request_id: str) -> bool:
     """Return whether a digest is that of an answer of a service to an id."""
     return stamp.rsplit(".", 2)[0] == f"{service}.{request_id}"
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/callers.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/callers.py
@@ -8,12 +8,11 @@
 import aiohttp
 from yarl import URL
 
-from kumquatchute_standins.platform.fleet.answers import build_records
-from kumquatchute_standins.platform.fleet.answers import greatest_records
-from kumquatchute_standins.platform.fleet.answers import is_stamp_of
+from kumquatchute_standins.platform.fleet.answer_checks import find_wrong
+from kumquatchute_standins.platform.fleet.answers import expect_answer
 from kumquatchute_standins.platform.fleet.answers import STAMP_HEADER
+from kumquatchute_standins.platform.fleet.client import Response
 from kumquatchute_standins.platform.fleet.manifest import HOST
-from kumquatchute_standins.platform.fleet.manifest import TOP_K
 
 DEADLINE_MS = 2000
 _request_numbers = itertools.count(1)
@@ -29,6 +28,7 @@
         other status than 200
     :param retry_after_s: value of ``Retry-After`` in seconds, None without it
     :param latency_s: time from request to answer in seconds
+    :param response: the answer, None without one
     """
 
     request_id: str
@@ -37,6 +37,7 @@
     coverage: float
     retry_after_s: float | None
     latency_s: float
+    response: Response | None = None
 
 
 async def send_request(
@@ -62,20 +63,19 @@
     # Otherwise aiohttp would normalize percent-encoded characters.
     url = URL(f"http://127.0.0.1:{port}{path}", encoded=True)
     try:
-        async with session.request(method, url, headers=headers) as response:
-            body = await response.read()
+        async with session.request(method, url, headers=headers) as received:
+            body = await received.read()
     except (aiohttp.ClientError, OSError) as exc:
         error = f"no answer: {type(exc).__name__}"
         return CallResult(
             request_id, None, error, 0, None, loop.time() - started_at
         )
+    fields = tuple((k.lower(), v) for k, v in received.headers.items())
+    response = Response(received.status, fields, body)
     error, coverage = None, 0.0
     if response.status == 200:
-        check_answer = _check_parts if shards else _check_single
-        error, coverage = check_answer(
-            request_id, response.headers, body, shards
-        )
-    retry_after = response.headers.get("Retry-After")
+        error, coverage = _check_answer(request_id, response, shards)
+    retry_after = received.headers.get("Retry-After")
     return CallResult(
         request_id,
         response.status,
@@ -83,6 +83,7 @@
         coverage,
         None if retry_after is None else float(retry_after),
         loop.time() - started_at,
+        response,
     )
 
 
@@ -106,37 +107,21 @@
     return list(await asyncio.gather(*pending))
 
 
-def _check_single(
-    request_id: str, headers: object, body: bytes, shards: tuple[str, ...]
+def _check_answer(
+    request_id: str, response: Response, shards: tuple[str, ...]
 ) -> tuple[str | None, float]:
-    stamp = headers.get(STAMP_HEADER, "")
-    if not is_stamp_of(stamp, "single", request_id):
-        return "the stamp belongs to another request", 1.0
-    if body != build_records(stamp):
-        return "the body differs from that of the searcher", 1.0
-    return None, 1.0
-
+    """Compare a success with the good answers that its digests name.
 
-def _check_parts(
-    request_id: str, headers: object, body: bytes, shards: tuple[str, ...]
-) -> tuple[str | None, float]:
-    stamps = [stamp.strip() for stamp in headers["X-Part-Stamps"].split(",")]
-    covered = {
-        shard
-        for shard in shards
+    :returns: what is wrong with it, and the fraction of the shards in it
+    """
+    part_stamps = response.values("x-part-stamps")
+    stamps = part_stamps or response.values(STAMP_HEADER.lower())
+    expected = (
+        expect_answer(stamp, service, request_id)
+        for service in shards or ("single",)
         for stamp in stamps
-        if is_stamp_of(stamp, shard, request_id)
-    }
-    if len(covered) != len(stamps):
-        return "a stamp belongs to another request or appears twice", 0.0
-    missing = int(headers.get("X-Missing-Parts", "0"))
-    coverage = len(stamps) / len(shards)
-    if len(stamps) + missing != len(shards):
-        return "parts and missing parts do not add up to all shards", coverage
-    bodies = [build_records(stamp) for stamp in stamps]
-    if body != greatest_records(bodies, TOP_K):
-        return (
-            "the body does not hold the highest records of its parts",
-            coverage,
-        )
-    return None, coverage
+    )
+    sent = tuple(answer for answer in expected if answer is not None)
+    wrong = find_wrong(response, request_id, sent, shards)
+    coverage = len(part_stamps) / len(shards) if shards else 1.0
+    return (None if wrong is None else wrong.value), coverage
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/client.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/client.py
@@ -5,6 +5,10 @@
 
 from kumquatchute_standins.platform.fleet.answers import ID_HEADER
 from kumquatchute_standins.platform.fleet.manifest import HOST
+from kumquatchute_standins.platform.fleet.resets import reset_connection
+
+# Clients that leave inside a body do so after this time.
+LEAVE_AFTER_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +69,26 @@
         return "close" in self.values("connection")
 
 
+async def send_part(
+    call: Call, port: int, deadline_ms: int, resets: bool
+) -> None:
+    """Send a request up to the middle of its body, then leave.
+
+    :param call: a request with a body
+    :param resets: whether the connection is reset; otherwise it is closed
+    :raises OSError: the node accepts no connections
+    """
+    _, writer = await asyncio.open_connection("127.0.0.1", port)
+    request = call.encode(deadline_ms)
+    writer.write(request[: -(len(call.request_id) // 2)])
+    # The node reads the head before the connection ends.
+    await asyncio.sleep(LEAVE_AFTER_S)
+    if resets:
+        reset_connection(writer)
+    else:
+        writer.close()
+
+
 async def read_response(reader: asyncio.StreamReader) -> Response:
     """Read the next final response.
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/callers.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/connection_callers.py
@@ -5,14 +5,16 @@
 import itertools
 from random import Random
 
-from kumquatchute_standins.platform.fleet.relay.client import Call
-from kumquatchute_standins.platform.fleet.relay.client import read_response
-from kumquatchute_standins.platform.fleet.relay.client import Response
+from kumquatchute_standins.platform.fleet.client import Call
+from kumquatchute_standins.platform.fleet.client import read_response
+from kumquatchute_standins.platform.fleet.client import Response
 
 DEADLINE_MS = 2000
 # Callers give up a little after the time limit that they state.
 GIVE_UP_S = 3.0
 RECONNECT_S = 0.02
+# Fraction of the batches that a pause follows, if the caller pauses at all.
+PAUSED_FRACTION = 0.5
 FETCH_PATH = "/fetch/1"
 SUBMIT_PATH = "/submit/1"
 QUERY_PATH = "/notes/1"
@@ -30,6 +32,11 @@
     sent_at: float
     ended_at: float
 
+    @property
+    def status(self) -> int | None:
+        """Status of the response, None without one."""
+        return None if self.response is None else self.response.status
+
     def is_success(self) -> bool:
         """Return whether the response has a status 2xx."""
         response = self.response
@@ -39,18 +46,28 @@
 class Caller:
     """Owns one connection at a time to a node."""
 
-    def __init__(self, name: str, port: int, pipeline: int, seed: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        port: int,
+        pipeline: int,
+        seed: int,
+        max_pause_s: float = 0.0,
+    ) -> None:
         """Create a caller.
 
         :param port: port of the node
         :param pipeline: most requests that are sent at once
         :param seed: seed of the choice of requests
+        :param max_pause_s: longest pause after half of the batches, in
+            seconds; the others are followed by the next batch at once
         """
         self.records: list[CallRecord] = []
         self._name = name
         self._port = port
         self._pipeline = pipeline
         self._rng = Random(f"{seed}/{name}")
+        self._max_pause_s = max_pause_s
         self._numbers = itertools.count(1)
 
     async def send_until(self, end: float) -> None:
@@ -68,6 +85,7 @@
                 while asyncio.get_running_loop().time() < end:
                     if not await self._send_batch(reader, writer):
                         break
+                    await self._pause()
             finally:
                 writer.transport.abort()
 
@@ -89,6 +107,10 @@
             is_open = response is not None and not response.ends_connection()
         return is_open
 
+    async def _pause(self) -> None:
+        if self._max_pause_s and self._rng.random() < PAUSED_FRACTION:
+            await asyncio.sleep(self._rng.uniform(0.0, self._max_pause_s))
+
     def _draw_call(self) -> Call:
         path = self._rng.choice((FETCH_PATH, SUBMIT_PATH, QUERY_PATH))
         request_id = f"{self._name}-{next(self._numbers)}"
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/disturbances.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/disturbances.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from kumquatchute_standins.platform.controls import Fault
+from kumquatchute_standins.platform.fleet.answer_faults import AnswerDraw
 from kumquatchute_standins.platform.fleet.proxy import LinkFaults
 from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
 
@@ -48,6 +49,35 @@
     faults: SearcherFaults
 
 
+@dataclass(frozen=True, slots=True)
+class DisturbAnswers:
+    """Draw faults for the answers of a searcher or of its service.
+
+    Other faults of the searchers hold beside them.
+
+    :param searcher: index of the searcher
+    :param in_service: whether all searchers of its service are disturbed
+    """
+
+    searcher: int
+    in_service: bool
+    draw: AnswerDraw
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonBodies:
+    """Clients send a part of a request and leave inside its body.
+
+    :param node: index of the node
+    :param count: number of requests, one after another
+    :param resets: whether the clients reset the connection
+    """
+
+    node: int
+    count: int
+    resets: bool
+
+
 @dataclass(frozen=True, slots=True)
 class CrashSearcher:
     """Crash a searcher and start it again cold."""
@@ -119,6 +149,8 @@
     | SetLinkFaults
     | ResetLink
     | SetSearcherFaults
+    | DisturbAnswers
+    | AbandonBodies
     | CrashSearcher
     | DrainSearcher
     | LimitSearcher
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/proxy.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 from dataclasses import dataclass
 
+from kumquatchute_standins.platform.fleet.resets import reset_connection
+
 READ_BYTES = 65_536
 
 
@@ -99,5 +101,7 @@
                 writer.write(data)
                 await writer.drain()
         except OSError:
-            # One side has disconnected; the caller closes the other one.
-            return
+            # One side has reset its connection. An answer without a length
+            # would be whole for the other side if that one were closed.
+            if not writer.transport.is_closing():
+                reset_connection(writer)
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/run.py
@@ -7,14 +7,14 @@
 from random import Random
 import signal
 
+from kumquatchute_standins.platform.fleet.answer_checks import check_record
+from kumquatchute_standins.platform.fleet.answer_checks import check_runs
+from kumquatchute_standins.platform.fleet.answer_checks import find_waits
+from kumquatchute_standins.platform.fleet.answer_checks import Violation
+from kumquatchute_standins.platform.fleet.answer_checks import Wait
 from kumquatchute_standins.platform.fleet.answer_faults import AnswerDraw
-from kumquatchute_standins.platform.fleet.relay.callers import Caller
-from kumquatchute_standins.platform.fleet.relay.callers import CallRecord
-from kumquatchute_standins.platform.fleet.relay.checks import check_record
-from kumquatchute_standins.platform.fleet.relay.checks import check_runs
-from kumquatchute_standins.platform.fleet.relay.checks import find_waits
-from kumquatchute_standins.platform.fleet.relay.checks import Violation
-from kumquatchute_standins.platform.fleet.relay.checks import Wait
+from kumquatchute_standins.platform.fleet.connection_callers import Caller
+from kumquatchute_standins.platform.fleet.connection_callers import CallRecord
 from kumquatchute_standins.platform.fleet.searcher import SearcherFaults
 from kumquatchute_standins.platform.fleet.site import FleetSite
 from kumquatchute_standins.platform.fleet.site import Shape
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/run.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
 from pathlib import Path
 import signal
 
@@ -9,8 +11,15 @@
 
 from kumquatchute_standins.platform.controls import ClearFaults
 from kumquatchute_standins.platform.controls import DropHistory
+from kumquatchute_standins.platform.fleet.answers import AnswerLedger
 from kumquatchute_standins.platform.fleet.callers import CallResult
 from kumquatchute_standins.platform.fleet.callers import send_request
+from kumquatchute_standins.platform.fleet.client import Call
+from kumquatchute_standins.platform.fleet.client import send_part
+from kumquatchute_standins.platform.fleet.connection_callers import Caller
+from kumquatchute_standins.platform.fleet.connection_callers import CallRecord
+from kumquatchute_standins.platform.fleet.connection_callers import DEADLINE_MS
+from kumquatchute_standins.platform.fleet.connection_callers import SUBMIT_PATH
 from kumquatchute_standins.platform.fleet import disturbances as ds
 from kumquatchute_standins.platform.fleet.proxy import LinkFaults
 from kumquatchute_standins.platform.fleet.searcher import Arrival
@@ -23,6 +32,9 @@
 COLD_PERIOD_MS = 2000
 # A little more than graceS of the nodes' settings, in which a node must stop.
 STOP_TIMEOUT_S = 6.5
+# Longest pause of callers on kept connections. Without pauses they would use
+# all cores of the machine.
+MAX_PAUSE_S = 0.4
 # One submission, which may run at most once, is sent per so many queries.
 QUERIES_PER_SUBMISSION = 5
 
@@ -33,10 +45,16 @@
 
     :param per_s: queries per second; submissions are sent in addition
     :param length_s: duration in seconds
+    :param callers: callers on kept connections to each node, in addition
+    :param pipeline: most requests that the last of them sends at once
+    :param seed: seed of the requests of these callers
     """
 
     per_s: float
     length_s: float
+    callers: int = 0
+    pipeline: int = 1
+    seed: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +105,11 @@
     :param last_disturbed_at: when the last disturbance ended
     :param shutdown_failures: nodes that stopped late or with another exit
         status than 0
+    :param calls: requests of callers on kept connections
+    :param abandoned: ids of requests whose clients left inside the body
+    :param ledger: answers that searchers sent
+    :param max_lag_s: longest delay of a query behind its time; callers,
+        searchers and links share the process that was late
     """
 
     started: float
@@ -99,6 +122,10 @@
     last_disturbed_at: float
     shutdown_failures: tuple[str, ...]
     limits: tuple[StatedLimit, ...] = ()
+    calls: tuple[CallRecord, ...] = ()
+    abandoned: tuple[str, ...] = ()
+    ledger: AnswerLedger = field(default_factory=AnswerLedger)
+    max_lag_s: float = 0.0
 
 
 class SiteRun:
@@ -126,6 +153,9 @@
         self._shutdown_failures: list[str] = []
         self._last_disturbed_at = 0.0
         self._tasks: set[asyncio.Task] = set()
+        self._callers = self._create_callers()
+        self._abandoned: list[str] = []
+        self._max_lag_s = 0.0
         # Names of nodes and searchers that are stopped or paused.
         self._unavailable_nodes: set[str] = set()
         self._stopped_searchers: set[str] = set()
@@ -140,6 +170,9 @@
             async with aiohttp.ClientSession() as session:
                 started_at = loop.time()
                 callers = asyncio.ensure_future(self._send_requests(session))
+                for caller in self._callers:
+                    end = started_at + self._load.length_s
+                    self._spawn(caller.send_until(end))
                 for step in steps:
                     await asyncio.sleep(
                         max(0, started_at + step.at - loop.time())
@@ -159,14 +192,33 @@
             self._last_disturbed_at,
             tuple(self._shutdown_failures),
             tuple(self._limits),
+            tuple(record for c in self._callers for record in c.records),
+            tuple(self._abandoned),
+            site.ledger,
+            self._max_lag_s,
         )
 
+    def _create_callers(self) -> list[Caller]:
+        load = self._load
+        return [
+            Caller(
+                f"k{node}.{number}",
+                self.site.nodes[node].front_port,
+                load.pipeline if number == load.callers - 1 else 1,
+                load.seed,
+                MAX_PAUSE_S,
+            )
+            for node in range(len(self.site.nodes))
+            for number in range(load.callers)
+        ]
+
     async def _send_requests(self, session: aiohttp.ClientSession) -> None:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         for number in range(int(self._load.length_s * self._load.per_s)):
             due = started_at + number / self._load.per_s
             await asyncio.sleep(max(0.0, due - loop.time()))
+            self._max_lag_s = max(self._max_lag_s, loop.time() - due)
             port = self._choose_port(number)
             if number % QUERIES_PER_SUBMISSION == 0:
                 self._spawn(self._send_submission(session, port))
@@ -217,9 +269,20 @@
             case ds.ResetLink(link=link):
                 site.links[link].reset_connections()
             case ds.SetSearcherFaults(searcher=number, faults=faults):
-                site.searchers[number].faults = faults
+                searcher = site.searchers[number]
+                searcher.faults = replace(
+                    faults, answers=searcher.faults.answers
+                )
                 await asyncio.sleep(step.for_s)
-                site.searchers[number].faults = SearcherFaults()
+                searcher.faults = SearcherFaults(
+                    answers=searcher.faults.answers
+                )
+            case ds.DisturbAnswers():
+                await self._disturb_answers(step.disturbance, step.for_s)
+            case ds.AbandonBodies(node=node, count=count, resets=resets):
+                for _ in range(count):
+                    await self._abandon_body(site.nodes[node], resets)
+                    await asyncio.sleep(step.for_s / count)
             case ds.CrashSearcher(searcher=number):
                 await self._crash_searcher(number, step.for_s)
             case ds.DrainSearcher(searcher=number):
@@ -239,6 +302,32 @@
                 await self._disturb_node(node_disturbance, step.for_s)
         self._last_disturbed_at = asyncio.get_running_loop().time()
 
+    async def _disturb_answers(
+        self, disturbance: ds.DisturbAnswers, for_s: float
+    ) -> None:
+        searchers = [self.site.searchers[disturbance.searcher]]
+        if disturbance.in_service:
+            searchers = self.site.searchers_of(searchers[0].service)
+        draw = disturbance.draw
+        for searcher in searchers:
+            searcher.faults = replace(searcher.faults, answers=draw)
+        await asyncio.sleep(for_s)
+        for searcher in searchers:
+            # Another disturbance may have replaced the draw.
+            if searcher.faults.answers is draw:
+                searcher.faults = replace(searcher.faults, answers=None)
+
+    async def _abandon_body(self, node: FleetNode, resets: bool) -> None:
+        call = Call(
+            f"left-{len(self._abandoned)}", SUBMIT_PATH, may_repeat=False
+        )
+        self._abandoned.append(call.request_id)
+        try:
+            await send_part(call, node.front_port, DEADLINE_MS, resets)
+        except OSError:
+            # The node is down.
+            return
+
     async def _crash_searcher(self, number: int, for_s: float) -> None:
         searcher = self.site.searchers[number]
         ever_absent = {absence.searcher for absence in self._absences}
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
@@ -18,6 +18,7 @@
 from kumquatchute_standins.platform.fleet.answer_faults import Ending
 from kumquatchute_standins.platform.fleet.answer_faults import Failure
 from kumquatchute_standins.platform.fleet.answer_faults import Head
+from kumquatchute_standins.platform.fleet.answer_faults import OtherId
 from kumquatchute_standins.platform.fleet.answer_faults import Refusal
 from kumquatchute_standins.platform.fleet.answer_faults import SecondCopy
 from kumquatchute_standins.platform.fleet.answer_faults import Success
@@ -287,6 +288,7 @@
                 answer.body,
                 is_good=isinstance(plan.kind, Success)
                 and len(digests) == 1
+                and plan.head != OtherId()
                 and is_whole,
                 has_run=not isinstance(plan.kind, Refusal),
                 sent_at=asyncio.get_running_loop().time(),
@@ -325,6 +327,8 @@
             return echo + digest
         case WithoutId():
             return digest
+        case OtherId():
+            return [(ID_HEADER, f"{request_id}.other"), *digest]
         case WithoutDigest():
             return echo
         case TwoDigests():
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/relay/tests/test_checks.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_answer_checks.py
@@ -5,22 +5,22 @@
 
 import pytest
 
+from kumquatchute_standins.platform.fleet.answer_checks import check_record
+from kumquatchute_standins.platform.fleet.answer_checks import check_runs
+from kumquatchute_standins.platform.fleet.answer_checks import find_waits
+from kumquatchute_standins.platform.fleet.answer_checks import Wait
+from kumquatchute_standins.platform.fleet.answer_checks import Wrong
 from kumquatchute_standins.platform.fleet.answers import AnswerLedger
 from kumquatchute_standins.platform.fleet.answers import build_records
 from kumquatchute_standins.platform.fleet.answers import greatest_records
 from kumquatchute_standins.platform.fleet.answers import SentAnswer
+from kumquatchute_standins.platform.fleet.client import Call
+from kumquatchute_standins.platform.fleet.client import Response
+from kumquatchute_standins.platform.fleet.connection_callers import CallRecord
+from kumquatchute_standins.platform.fleet.connection_callers import FETCH_PATH
+from kumquatchute_standins.platform.fleet.connection_callers import QUERY_PATH
+from kumquatchute_standins.platform.fleet.connection_callers import SUBMIT_PATH
 from kumquatchute_standins.platform.fleet.manifest import TOP_K
-from kumquatchute_standins.platform.fleet.relay.callers import CallRecord
-from kumquatchute_standins.platform.fleet.relay.callers import FETCH_PATH
-from kumquatchute_standins.platform.fleet.relay.callers import QUERY_PATH
-from kumquatchute_standins.platform.fleet.relay.callers import SUBMIT_PATH
-from kumquatchute_standins.platform.fleet.relay.checks import check_record
-from kumquatchute_standins.platform.fleet.relay.checks import check_runs
-from kumquatchute_standins.platform.fleet.relay.checks import find_waits
-from kumquatchute_standins.platform.fleet.relay.checks import Wait
-from kumquatchute_standins.platform.fleet.relay.checks import Wrong
-from kumquatchute_standins.platform.fleet.relay.client import Call
-from kumquatchute_standins.platform.fleet.relay.client import Response
 
 SHARDS = ("sh00", "sh01", "sh02")
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_relayed_answers.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_relayed_answers.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from kumquatchute_standins.platform.fleet.relay.checks import Wrong
+from kumquatchute_standins.platform.fleet.answer_checks import Wrong
 from kumquatchute_standins.platform.fleet.relay.run import Case
 from kumquatchute_standins.platform.fleet.relay.run import CaseResult
 from kumquatchute_standins.platform.fleet.relay.run import run_case
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/__main__.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/__main__.py
@@ -26,7 +26,9 @@
     print(
         f"seed {outcome.seed}: {state},"
         f" {outcome.served} of {outcome.requests} queries served,"
-        f" {len(outcome.steps)} disturbances",
+        f" {outcome.calls} requests on kept connections,"
+        f" {len(outcome.steps)} disturbances,"
+        f" at most {1000 * outcome.max_lag_s:.0f} ms late",
         flush=True,
     )
     if outcome.violations:
@@ -52,6 +54,9 @@
     folder: Annotated[
         Path, typer.Option(help="Folder for settings and logs of each seed.")
     ] = Path("soak-out"),
+    source: Annotated[
+        Path | None, typer.Option(help="Checkout whose nodes run.")
+    ] = None,
 ) -> None:
     """Run real nodes under random faults and check their guarantees."""
     first_seed = first
@@ -61,7 +66,7 @@
     failed = finished = 0
     with ProcessPoolExecutor(1 if large else MAX_PARALLEL_RUNS) as pool:
         futures = [
-            pool.submit(run_seed, seed, folder / str(seed), large)
+            pool.submit(run_seed, seed, folder / str(seed), large, source)
             for seed in range(first_seed, first_seed + seeds)
         ]
         for future in as_completed(futures):
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/checks.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/checks.py
@@ -6,18 +6,24 @@
 from collections.abc import Iterable
 from collections import Counter
 
+from kumquatchute_standins.platform.fleet.answer_checks import check_record
+from kumquatchute_standins.platform.fleet.answer_checks import check_response
+from kumquatchute_standins.platform.fleet.answer_checks import check_run_counts
+from kumquatchute_standins.platform.fleet.answer_checks import Violation
+from kumquatchute_standins.platform.fleet.answers import AnswerLedger
 from kumquatchute_standins.platform.fleet.callers import CallResult
+from kumquatchute_standins.platform.fleet.connection_callers import CallRecord
+from kumquatchute_standins.platform.fleet.connection_callers import QUERY_PATH
 from kumquatchute_standins.platform.fleet.limits import allowed_count
 from kumquatchute_standins.platform.fleet.limits import peak_count
 from kumquatchute_standins.platform.fleet.limits import REACTION_S
 from kumquatchute_standins.platform.fleet.limits import WINDOW_S
 from kumquatchute_standins.platform.fleet.run import Absence
 from kumquatchute_standins.platform.fleet.run import ColdPeak
+from kumquatchute_standins.platform.fleet.run import RunRecord
 from kumquatchute_standins.platform.fleet.run import StatedLimit
 from kumquatchute_standins.platform.fleet.searcher import Arrival
 
-# Statuses which guarantee that the request has not run and never will.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Searchers that drain and searchers of an evacuated data centre must receive
 # nothing once LEAVE_LIMIT_S have passed since the change was written to the
 # store, and STABLE_S since the last disturbance ended. Until then, nodes may
@@ -49,29 +55,75 @@
     ]
 
 
+def check_sent(
+    results: Iterable[CallResult],
+    ledger: AnswerLedger,
+    shards: tuple[str, ...],
+) -> list[str]:
+    """Report each answer that is not what searchers sent to its request.
+
+    :param shards: services that a query covers; empty for single requests
+    """
+    found = (
+        check_response(result.response, result.request_id, ledger, shards)
+        for result in results
+    )
+    return _describe(found)
+
+
+def check_calls(
+    calls: Iterable[CallRecord],
+    ledger: AnswerLedger,
+    shards: tuple[str, ...],
+) -> list[str]:
+    """Report the same for callers on kept connections.
+
+    :param shards: services that a query covers
+    """
+    return _describe(check_record(call, ledger, shards) for call in calls)
+
+
 def check_at_most_once(
-    results: Iterable[CallResult], arrivals: list[Arrival]
+    record: RunRecord, arrivals: list[Arrival]
 ) -> list[str]:
     """Report each request that ran twice, or that ran contrary to its status.
 
-    :param results: results of requests that may run at most once
+    Only requests that may run at most once are considered.
     """
     run_counts = Counter(arrival.request_id for arrival in arrivals)
-    violations = []
-    for result in results:
-        if run_counts[result.request_id] > 1:
-            violations.append(
-                f"{result.request_id} ran {run_counts[result.request_id]}x"
-            )
-        if result.status in NOT_RUN_STATUSES and run_counts[result.request_id]:
-            violations.append(
-                f"{result.request_id} got {result.status} and ran"
-            )
-    return violations
+    outcomes = [
+        (result.request_id, result.status) for result in record.submissions
+    ]
+    outcomes += [
+        (call.call.request_id, call.status)
+        for call in record.calls
+        if not call.call.may_repeat
+    ]
+    return _describe(check_run_counts(outcomes, run_counts))
+
+
+def check_abandoned(
+    abandoned: Iterable[str], arrivals: list[Arrival]
+) -> list[str]:
+    """Report each request that ran although its client left in its body."""
+    have_run = {arrival.request_id for arrival in arrivals}
+    return [
+        f"{request_id} ran, but its client left inside its body"
+        for request_id in abandoned
+        if request_id in have_run
+    ]
+
+
+def _describe(violations: Iterable[Violation | None]) -> list[str]:
+    return [
+        f"{item.request_id}: {item.wrong.value}: {item.detail}"
+        for item in violations
+        if item is not None
+    ]
 
 
 def check_attempts(
-    results: Iterable[CallResult], arrivals: list[Arrival], max_searchers: int
+    record: RunRecord, arrivals: list[Arrival], max_searchers: int
 ) -> list[str]:
     """Report each query that reached too many searchers of a shard.
 
@@ -84,7 +136,12 @@
             for arrival in arrivals
         }.values()
     )
-    request_ids = {result.request_id for result in results}
+    request_ids = {query.result.request_id for query in record.queries}
+    request_ids |= {
+        call.call.request_id
+        for call in record.calls
+        if call.call.path == QUERY_PATH
+    }
     return [
         f"{request_id} ran on {count} searchers of {service}"
         for (request_id, service), count in searcher_counts.items()
@@ -159,7 +216,14 @@
         result.status == 200 and not result.error for result in results
     )
     if results and served / len(results) < MIN_SERVED_FRACTION:
+        others = Counter(
+            str(result.status) if result.status else result.error
+            for result in results
+            if result.status != 200 or result.error
+        )
+        kinds = ", ".join(f"{n} x {kind}" for kind, n in others.items())
         return [
-            f"only {served} of the last {len(results)} requests were served"
+            f"only {served} of the last {len(results)} requests were served;"
+            f" others: {kinds}"
         ]
     return []
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/plan.py
@@ -7,9 +7,13 @@
 from kumquatchute_standins.platform.controls import SetDown
 from kumquatchute_standins.platform.controls import SetRate
 from kumquatchute_standins.platform.controls import SilenceWatches
+from kumquatchute_standins.platform.fleet.answer_faults import ANSWER_FAULTS
+from kumquatchute_standins.platform.fleet.answer_faults import AnswerDraw
+from kumquatchute_standins.platform.fleet.disturbances import AbandonBodies
 from kumquatchute_standins.platform.fleet.disturbances import ChangeManifest
 from kumquatchute_standins.platform.fleet.disturbances import CrashSearcher
 from kumquatchute_standins.platform.fleet.disturbances import Disturbance
+from kumquatchute_standins.platform.fleet.disturbances import DisturbAnswers
 from kumquatchute_standins.platform.fleet.disturbances import DrainSearcher
 from kumquatchute_standins.platform.fleet.disturbances import DropHistory
 from kumquatchute_standins.platform.fleet.disturbances import Evacuate
@@ -39,6 +43,16 @@
 # Plans from this seed on also have searchers that refuse requests and ask for
 # a pause.
 FIRST_SEED_WITH_PAUSES = 2_000_000
+# Plans from this seed on also disturb single answers of searchers.
+FIRST_SEED_WITH_ANSWERS = 3_000_000
+# Plans from this seed on also have clients that leave inside a body.
+FIRST_SEED_WITH_LEAVING_CLIENTS = 4_000_000
+# Number of the names in ANSWER_FAULTS when the plans were set down. Names that
+# are added later need a first seed of their own.
+ANSWER_FAULT_COUNT = 22
+MAX_ANSWER_FAULTS = 5
+MIN_ANSWER_FAULT_S = 0.5
+MAX_ABANDONED_BODIES = 5
 PAUSE_SHARE = 0.15
 MAX_PAUSE_S = 2.0
 # Time until which the searcher begins to state its limit.
@@ -93,9 +107,47 @@
                 start_s + 0.6, RUN_LENGTH_S - RECOVERY_S - MAX_DISTURBANCE_S
             )
             steps.append(Step(repeat_at, duration_s, disturbance))
+    if seed >= FIRST_SEED_WITH_ANSWERS:
+        steps += _draw_answer_faults(rng, seed, searchers)
+    if seed >= FIRST_SEED_WITH_LEAVING_CLIENTS:
+        steps += _draw_abandoned_bodies(rng, nodes)
     return tuple(sorted(steps, key=lambda step: step.at))
 
 
+def _draw_answer_faults(rng: Random, seed: int, searchers: int) -> list[Step]:
+    """Draw disturbances of answers; most of them overlap with others."""
+    names = tuple(ANSWER_FAULTS)[:ANSWER_FAULT_COUNT]
+    steps = []
+    for _ in range(rng.randint(2, 4)):
+        # The doses of the users' sites, and sometimes larger ones.
+        is_heavy = rng.random() < 0.2
+        share = rng.uniform(0.4, 1.0) if is_heavy else rng.uniform(0.02, 0.4)
+        draw = AnswerDraw(
+            tuple(rng.sample(names, rng.randint(1, MAX_ANSWER_FAULTS))),
+            share,
+            seed,
+        )
+        disturbance = DisturbAnswers(
+            rng.randrange(searchers), rng.random() < 0.5, draw
+        )
+        start_s = rng.uniform(
+            0.5, RUN_LENGTH_S - RECOVERY_S - MAX_DISTURBANCE_S
+        )
+        duration_s = rng.uniform(MIN_ANSWER_FAULT_S, MAX_DISTURBANCE_S)
+        steps.append(Step(start_s, duration_s, disturbance))
+    return steps
+
+
+def _draw_abandoned_bodies(rng: Random, nodes: int) -> list[Step]:
+    disturbance = AbandonBodies(
+        rng.randrange(nodes),
+        rng.randint(1, MAX_ABANDONED_BODIES),
+        rng.random() < 0.5,
+    )
+    start_s = rng.uniform(0.5, RUN_LENGTH_S - RECOVERY_S - MAX_DISTURBANCE_S)
+    return [Step(start_s, rng.uniform(0.3, MAX_DISTURBANCE_S), disturbance)]
+
+
 def _draw_disturbance(
     rng: Random, nodes: int, searchers: int, links: int, data_centres: str
 ) -> Disturbance:
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
@@ -11,6 +11,7 @@
 from kumquatchute_standins.platform.fleet.site import Shape
 from kumquatchute_standins.soak import checks
 from kumquatchute_standins.soak.plan import draw_plan
+from kumquatchute_standins.soak.plan import FIRST_SEED_WITH_ANSWERS
 from kumquatchute_standins.soak.plan import RUN_LENGTH_S
 
 SHAPE = Shape(
@@ -37,6 +38,12 @@
     proxied=True,
 )
 QUERIES_PER_S = 20.0
+# From FIRST_SEED_WITH_ANSWERS on, each node also has callers on connections
+# that they keep until the node closes them. One of them sends several
+# requests at once.
+KEPT_CALLERS = 2
+KEPT_CALLERS_OF_LARGE = 1
+PIPELINE = 3
 # Seeds below this one keep the plans that they had before links between nodes
 # had proxies, so that they still reproduce what was found with them.
 FIRST_SEED_WITH_PEER_LINKS = 10_000
@@ -51,6 +58,8 @@
     :param steps: disturbances of the run
     :param requests: number of queries
     :param served: number of queries that were answered with 200
+    :param calls: number of requests of callers on kept connections
+    :param max_lag_s: longest time for which the run itself was late
     :param violations: a message for each violated guarantee
     """
 
@@ -58,14 +67,20 @@
     steps: tuple[Step, ...]
     requests: int
     served: int
+    calls: int
+    max_lag_s: float
     violations: tuple[str, ...]
 
 
 def check_guarantees(
-    seed: int, steps: tuple[Step, ...], record: RunRecord
+    seed: int,
+    steps: tuple[Step, ...],
+    record: RunRecord,
+    shards: tuple[str, ...],
 ) -> Outcome:
     """Check the results of callers and the arrivals at searchers.
 
+    :param shards: services that a query covers
     :returns: result of the seed, with a message for each violated guarantee
     """
     arrivals = list(record.arrivals)
@@ -81,8 +96,12 @@
         *record.shutdown_failures,
         *checks.check_cold_limits(record.cold_peaks),
         *checks.check_answers([*results, *record.submissions]),
-        *checks.check_at_most_once(record.submissions, arrivals),
-        *checks.check_attempts(results, arrivals, max_searchers=2),
+        *checks.check_sent(results, record.ledger, shards),
+        *checks.check_sent(record.submissions, record.ledger, ()),
+        *checks.check_calls(record.calls, record.ledger, shards),
+        *checks.check_at_most_once(record, arrivals),
+        *checks.check_abandoned(record.abandoned, arrivals),
+        *checks.check_attempts(record, arrivals, max_searchers=2),
         *checks.check_absences(
             record.absences, arrivals, record.last_disturbed_at
         ),
@@ -92,24 +111,40 @@
         *checks.check_recovery(last_results),
     )
     served = sum(result.status == 200 for result in results)
-    return Outcome(seed, steps, len(results), served, violations)
+    return Outcome(
+        seed,
+        steps,
+        len(results),
+        served,
+        len(record.calls),
+        record.max_lag_s,
+        violations,
+    )
 
 
-def run_seed(seed: int, folder: Path, large: bool = False) -> Outcome:
+def run_seed(
+    seed: int, folder: Path, large: bool = False, source: Path | None = None
+) -> Outcome:
     """Run one seed.
 
     :param folder: folder for settings and logs of the nodes
     :param large: whether to run the site of sixty nodes; it has no effect on
         seeds below ``FIRST_SEED_WITH_PEER_LINKS``
+    :param source: checkout whose nodes run, None for this one
     """
     folder.mkdir(parents=True, exist_ok=True)
     shape = LARGE_SHAPE if large else SHAPE_WITH_PEERS
     if seed < FIRST_SEED_WITH_PEER_LINKS:
         shape = SHAPE
-    run = SiteRun(shape, Load(QUERIES_PER_S, RUN_LENGTH_S), folder)
+    load = Load(QUERIES_PER_S, RUN_LENGTH_S)
+    if seed >= FIRST_SEED_WITH_ANSWERS:
+        callers = KEPT_CALLERS_OF_LARGE if large else KEPT_CALLERS
+        load = Load(QUERIES_PER_S, RUN_LENGTH_S, callers, PIPELINE, seed)
+    run = SiteRun(shape, load, folder, source)
     site = run.site
     links = len(site.links)
     if seed < FIRST_SEED_WITH_PEER_LINKS:
         links -= len(site.nodes)
     steps = draw_plan(seed, len(site.nodes), len(site.searchers), links, "ab")
-    return check_guarantees(seed, steps, asyncio.run(run.run_steps(steps)))
+    record = asyncio.run(run.run_steps(steps))
+    return check_guarantees(seed, steps, record, site.shard_names)
