--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answer_faults.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/answer_faults.py
@@ -9,10 +9,11 @@
 # Short enough that the next request on the connection is often pending.
 JOINED_COPY_DELAY_S = 0.02
 # Statuses that HTTP, a proxy in front of a searcher or the searcher itself
-# might give a request that has run. Those without a body are left out.
+# might give a request that has run. Those without a body are left out, and
+# 421, which states that the request has not run.
 FAILURE_STATUSES = (
     *(300, 302, 307, 308, 400, 401, 403, 404, 405, 408, 409, 410, 411, 413),
-    *(414, 418, 421, 425, 429, 431, 499, 500, 501, 502, 503, 504, 505, 599),
+    *(414, 418, 425, 429, 431, 499, 500, 501, 502, 503, 504, 505, 599),
 )
 
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/searcher.py
@@ -239,7 +239,11 @@
 
     def _build_mismatch(self, request_id: str) -> Answer:
         """Return the answer to a request for another searcher."""
-        headers = (("X-Instance-Id", self.name), (ID_HEADER, request_id))
+        headers = (
+            ("X-Not-Executed", "1"),
+            ("X-Instance-Id", self.name),
+            (ID_HEADER, request_id),
+        )
         return Answer(421, headers, b"")
 
     def _build_answer(
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_answer_faults.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_answer_faults.py
@@ -63,6 +63,9 @@
         ("broken-off-copy", 2, 2, False),
         ("failure", 1, 1, False),
         ("interim", 2, 1, True),
+        ("failure-any", 1, 1, False),
+        ("failure-no-digest", 1, 1, False),
+        ("other-id", 1, 1, False),
     ],
 )
 def test_searcher_sends_and_records_the_fault(
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_relayed_answers.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_relayed_answers.py
@@ -102,6 +102,19 @@
     assert_none_wrong(play(tmp_path, "failure"))
 
 
+def test_failures_of_any_status_promise_nothing(tmp_path: Path) -> None:
+    """Guards against "not run" for work that a searcher ran and failed."""
+    result = play(tmp_path, "failure-any", "failure-no-digest")
+    assert_none_wrong(result)
+
+
+def test_answer_that_names_another_request_is_not_relayed(
+    tmp_path: Path,
+) -> None:
+    """Guards against a check of ids that a connection's first answer skips."""
+    assert_none_wrong(play(tmp_path, "other-id", share=0.1))
+
+
 def test_whole_copies_with_their_id_are_skipped(tmp_path: Path) -> None:
     """Guards against a late copy that is taken in spite of its id."""
     result = play(tmp_path, "copy", "copy-pieces", "interim", "until-close")
