Show that a paused node leaves out parts that have arrived

The failure of the limited searcher's test, which had no cause, was traced beside busy loops: a node that did not run past a query's soft deadline found all responses when it ran again, but took them one by one, and answered as soon as the minimum coverage was reached. In one play it did not run from 08:28:05.738 to 08:28:06.076; all parts had been sent 21 ms after the query, and the answer lacked one. It also hedged attempts whose responses had arrived.

test_paused_node.py shows it on a virtual clock without load: four of its five cases fail.

--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_paused_node.py
@@ -0,0 +1,128 @@
+"""Queries on a node that does not run for a while."""
+
+import asyncio
+from collections import Counter
+import random
+
+import pytest
+
+from kumquatchuted.gateway.tests.example_settings import EXAMPLE_SETTINGS
+from kumquatchuted.gather.messages import Finish
+from kumquatchuted.gather.task import GatherTask
+from kumquatchuted.routing.messages import AllShards
+from kumquatchuted.routing.messages import Route
+from kumquatchuted.searchers.messages import OutgoingRequest
+from kumquatchuted.searchers.task import SearchersTask
+from kumquatchuted.searchers.tests.virtual_network import build_members
+from kumquatchuted.searchers.tests.virtual_network import encode_response
+from kumquatchuted.searchers.tests.virtual_network import NetworkLoop
+from kumquatchuted.searchers.tests.virtual_network import ReceivedRequest
+from kumquatchuted.searchers.tests.virtual_network import Reply
+from kumquatchuted.searchers.tests.virtual_network import run_on_network
+
+SHARDS = ("s0", "s1", "s2", "s3")
+OBJECTIVE_S = 0.3
+TIMEOUT_S = 2.0
+RESPONSE_S = 0.011
+PAUSE_AT_S = 0.005
+# Longer than the delay of a hedge, and longer than the soft deadline.
+PAUSES_S = (0.12, 0.34)
+# The searchers of the first shard.
+SILENT_PORTS = (1, 2)
+# Seeds of the order in which callbacks run that are ready at the same time.
+SEEDS = range(20)
+
+
+def play_query(
+    pause_s: float, seed: int, silent_ports: tuple[int, ...] = ()
+) -> tuple[Finish, Counter[str], float]:
+    """Run a query during which the node pauses once.
+
+    :param pause_s: time for which the node does not run, in seconds
+    :param silent_ports: ports of searchers that do not respond
+    :returns: result, counts of events of the node and duration in seconds
+    """
+
+    def respond(req: ReceivedRequest) -> Reply | None:
+        if req.port in silent_ports:
+            return None
+        stamp = b"%d.%s" % (req.port, req.request_id)
+        data = encode_response(200, req, stamp, b"0123456789abcdef")
+        return Reply(RESPONSE_S, data)
+
+    loop = NetworkLoop(respond, rng=random.Random(seed))
+    counts: Counter[str] = Counter()
+
+    async def main() -> tuple[Finish, float]:
+        searchers = SearchersTask(
+            EXAMPLE_SETTINGS,
+            loop.time,
+            random.Random(1),
+            lambda event, label: counts.update((event,)),
+        )
+        searchers.mailbox.post(build_members(SHARDS, 2))
+        running = asyncio.ensure_future(searchers.run())
+        shards = AllShards(SHARDS, 5, 0.5)
+        route = Route(
+            "r", "h", "/", True, TIMEOUT_S, OBJECTIVE_S, 0, 2, shards
+        )
+        head = b"GET / HTTP/1.1\r\nX-Request-Id: r1\r\n"
+        started_at = loop.time()
+        task = GatherTask(
+            route,
+            shards,
+            OutgoingRequest(b"r1", b"GET", head, b""),
+            started_at + 0.9 * OBJECTIVE_S,
+            started_at + TIMEOUT_S,
+            searchers.mailbox.post,
+            loop.time,
+        )
+        loop.call_later(PAUSE_AT_S, loop.pause, pause_s)
+        finish = await task.run()
+        duration_s = loop.time() - started_at
+        running.cancel()
+        return finish, duration_s
+
+    finish, duration_s = run_on_network(main(), loop)
+    return finish, counts, duration_s
+
+
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+def test_responses_that_arrive_during_a_pause_are_merged(
+    pause_s: float,
+) -> None:
+    """Guards against answers without parts that the node has received.
+
+    On a busy machine a node did not run for 0.34 s. All searchers had
+    responded after 0.02 s, but the node took the first responses, found the
+    soft deadline passed and answered with the minimum coverage.
+    """
+    for seed in SEEDS:
+        finish, _, _ = play_query(pause_s, seed)
+        assert finish.failure is None, seed
+        assert finish.missing == 0, seed
+
+
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+def test_pause_of_the_node_causes_no_hedges(pause_s: float) -> None:
+    """Guards against hedges of attempts whose responses have arrived.
+
+    They use up the retry budget, which is then missing for attempts on
+    searchers that are slow.
+    """
+    for seed in SEEDS:
+        _, counts, _ = play_query(pause_s, seed)
+        assert not counts["repeats"], seed
+
+
+def test_paused_node_does_not_wait_for_more_responses() -> None:
+    """Guards against an answer that is later than the pause makes it.
+
+    The searchers of one shard do not respond. After the soft deadline the node
+    answers with the other parts as soon as it runs.
+    """
+    for seed in SEEDS:
+        finish, _, duration_s = play_query(0.34, seed, SILENT_PORTS)
+        assert finish.failure is None, seed
+        assert finish.missing == 1, seed
+        assert duration_s == pytest.approx(0.34 + PAUSE_AT_S), seed
