End an exchange whose response names a request of another connection

Cause: any response that named another request was skipped as a late copy. Only a request that the connection has carried can have a late copy on it; after such a copy the own response may follow. Anything else ends the exchange now, and the request may have run.

test_response_that_names_another_request_is_not_taken fails without this.

--- a/packages/kumquatchuted/src/kumquatchuted/responses/matching.py
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/matching.py
@@ -5,6 +5,7 @@
 bytes that belong to an earlier request.
 """
 
+from collections.abc import Container
 from collections.abc import Sequence
 
 from kumquatchuted.responses.messages import Exchange
@@ -15,16 +16,19 @@
 from kumquatchuted.responses.messages import Verdict
 
 NO_ID = "the response names no request"
-OTHER_ID = "the first response of the connection names another request"
+OTHER_ID = "the response names a request of another connection"
 SEVERAL_IDS = "the response names several requests"
 # The verdict on nearly all responses.
 MATCHED_BY_ID = MatchedById()
 
 
-def match_response(exchange: Exchange, named: Sequence[bytes]) -> Verdict:
+def match_response(
+    exchange: Exchange, named: Sequence[bytes], carried_ids: Container[bytes]
+) -> Verdict:
     """Decide by the ids that a response names whose it is.
 
     :param named: values of the id headers of the response
+    :param carried_ids: ids of the last requests of its connection
     """
     if len(named) == 1 and named[0] == exchange.request_id != b"":
         return MATCHED_BY_ID
@@ -36,6 +40,9 @@
         (named_id,) = named_ids
         if named_id == exchange.request_id.strip():
             return MATCHED_BY_ID
-        # What names another request on a new connection is no late response.
-        return Unproven(OTHER_ID) if exchange.is_first else Foreign(named_id)
+        # Only a late copy leaves the own response to follow. What names a
+        # request that the connection has not carried is none.
+        if named_id in carried_ids:
+            return Foreign(named_id)
+        return Unproven(OTHER_ID)
     return MatchedAsFirst() if exchange.is_first else Unproven(NO_ID)
--- a/packages/kumquatchuted/src/kumquatchuted/responses/tests/test_matching.py
+++ b/packages/kumquatchuted/src/kumquatchuted/responses/tests/test_matching.py
@@ -18,7 +18,8 @@
     *ids: bytes, request_id: bytes = b"r1", is_first: bool = False
 ) -> Verdict:
     """Return the verdict on a response that names some requests."""
-    return match_response(Exchange("k", request_id, True, is_first), ids)
+    exchange = Exchange("k", request_id, True, is_first)
+    return match_response(exchange, ids, () if is_first else (b"r0", b"r"))
 
 
 @pytest.mark.parametrize("is_first", [False, True])
@@ -31,10 +32,12 @@
 def test_response_that_names_another_request_is_not_taken() -> None:
     """Guards against a caller that gets a late copy of another answer.
 
-    On a new connection it cannot be a late copy, and nothing else is due, so
-    that the request must not wait for more until its time limit.
+    What names a request that its connection has not carried is no late copy.
+    Nothing else is due then, so that the request must not wait for more until
+    its time limit.
     """
     assert match(b"r0") == Foreign(b"r0")
+    assert match(b"r7") == Unproven(OTHER_ID)
     assert match(b"r0", is_first=True) == Unproven(OTHER_ID)
     # An id that is a part of the other one is another id.
     assert match(b"r") == Foreign(b"r")
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
@@ -143,7 +143,11 @@
         self._exchange: Exchange | None = None
         self._carried_ids: deque[bytes] = deque(maxlen=MAX_CARRIED_IDS)
         self._reader = ResponseReader(
-            codec, self._post_notices, self._post_skipped, max_received_bytes
+            codec,
+            self._post_notices,
+            self._post_skipped,
+            max_received_bytes,
+            self._carried_ids,
         )
 
     def connection_made(self, transport: asyncio.Transport) -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/response_reader.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/response_reader.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Container
 from dataclasses import dataclass
 from dataclasses import replace
 
@@ -116,6 +117,7 @@
         on_notices: Callable[[tuple[Notice, ...]], None],
         on_skipped: Callable[[int, Foreign], None],
         max_received_bytes: int,
+        carried_ids: Container[bytes],
     ) -> None:
         """Create a reader without a pending request.
 
@@ -123,8 +125,10 @@
         :param on_skipped: called with the status and verdict of a response to
             another request
         :param max_received_bytes: how many bytes may arrive for a request
+        :param carried_ids: ids of the last requests of the connection
         """
         self._codec = codec
+        self._carried_ids = carried_ids
         self._on_notices = on_notices
         self._on_skipped = on_skipped
         self._max_received_bytes = max_received_bytes
@@ -285,7 +289,9 @@
             return self._reject(INVALID_STATUS)
         id_header = self._codec.id_header
         verdict = match_response(
-            self._exchange, [v for k, v in self._headers if k == id_header]
+            self._exchange,
+            [v for k, v in self._headers if k == id_header],
+            self._carried_ids,
         )
         match verdict:
             case Unproven(reason=reason):
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
@@ -56,6 +56,15 @@
     abort = close
 
 
+def encode(status: int, request_id: bytes, extra: bytes = b"") -> bytes:
+    """Return a response whose headers and body name its request."""
+    body = b"the body of " + request_id
+    return (
+        b"HTTP/1.1 %d Some Reason\r\n%sX-Server-Stamp: d.%s\r\n"
+        b"X-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s"
+    ) % (status, extra, request_id, request_id, len(body), body)
+
+
 def awaiting_response(
     expects_body: bool = True, is_first: bool = True
 ) -> tuple[Connection, list, FakeTransport]:
@@ -71,6 +80,9 @@
     )
     transport = FakeTransport()
     connection.connection_made(transport)
+    if not is_first:
+        connection.send(Exchange("k0", b"r0", True, True), b"GET")
+        connection.data_received(encode(200, b"r0"))
     connection.send(Exchange("k", b"r1", expects_body, is_first), b"GET")
     posted.clear()
     return connection, posted, transport
@@ -144,15 +156,6 @@
     assert transport.closing
 
 
-def encode(status: int, request_id: bytes, extra: bytes = b"") -> bytes:
-    """Return a response whose headers and body name its request."""
-    body = b"the body of " + request_id
-    return (
-        b"HTTP/1.1 %d Some Reason\r\n%sX-Server-Stamp: d.%s\r\n"
-        b"X-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s"
-    ) % (status, extra, request_id, request_id, len(body), body)
-
-
 def check_taken_response(posted: list, status: int) -> None:
     """Check that what was taken is exactly the response to request r1."""
     for event in posted:
