Refuse at-most-once requests that a stopping node would give up

Such a request was accepted while four latency objectives were left, and its deadline moved to the time of the last answers; a searcher that needs longer than that was cut off, and its caller must not repeat the request. Now a stopping node accepts it only with its whole time, and otherwise refuses it before it runs, so that the caller can send it to another node.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_planned_stop.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/tests/test_planned_stop.py
@@ -51,15 +51,21 @@
 
 @pytest.mark.report("late in the grace cut")
 @pytest.mark.parametrize(
-    ("path", "method", "statuses"),
+    ("path", "method", "statuses", "delay_s"),
     [
-        ("/submit/1", "POST", (200, 503)),
+        ("/submit/1", "POST", (200, 503), 1.2),
+        # Longer than four latency objectives.
+        ("/submit/1", "POST", (200, 503), 1.5),
         # An idempotent request may be given up at the end, with a timeout.
-        ("/fetch/1", "GET", (200, 503, 504)),
+        ("/fetch/1", "GET", (200, 503, 504), 1.2),
     ],
 )
 def test_request_late_in_the_grace_is_not_cut(
-    tmp_path: Path, path: str, method: str, statuses: tuple[int, ...]
+    tmp_path: Path,
+    path: str,
+    method: str,
+    statuses: tuple[int, ...],
+    delay_s: float,
 ) -> None:
     """Guards against requests that are passed on and never answered.
 
@@ -73,7 +79,7 @@
     ) -> None:
         node = site.nodes[0]
         for searcher in site.searchers_of("single"):
-            searcher.faults = SearcherFaults(delay_s=1.2)
+            searcher.faults = SearcherFaults(delay_s=delay_s)
         connector = aiohttp.TCPConnector(force_close=True, limit=0)
         async with aiohttp.ClientSession(connector=connector) as callers:
             sending = asyncio.ensure_future(
--- a/packages/kumquatchuted/src/kumquatchuted/front/shutdown.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/shutdown.py
@@ -15,12 +15,10 @@
 KILL_MARGIN_S = 0.4
 # Answers leave this long before the exit, so that they are still sent.
 ANSWER_MARGIN_S = 0.15
-# Multiples of the latency objective that must be left for a request whose own
-# deadline is after the last answers. Most responses arrive within one. A
-# request that may run only once needs more: when it is given up, its caller
-# must not repeat it.
+# Multiples of the latency objective that must be left for an idempotent
+# request whose own deadline is after the last answers. Most responses arrive
+# within one.
 IDEMPOTENT_OBJECTIVES = 2.0
-AT_MOST_ONCE_OBJECTIVES = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +52,9 @@
 ) -> RequestDeadlines | None:
     """Return the deadlines of a request that a stopping node receives.
 
+    The deadline of an at-most-once request is not moved. Its caller can send a
+    refused request to another node, but not one that was given up.
+
     :param idempotent: whether the request may run more than once
     :param objective_s: latency objective of its route, in seconds
     :param now: monotonic time in seconds
@@ -61,10 +62,9 @@
     """
     if deadlines.deadline <= plan.answer_by:
         return deadlines
-    objectives = (
-        IDEMPOTENT_OBJECTIVES if idempotent else AT_MOST_ONCE_OBJECTIVES
-    )
-    if now + objectives * objective_s > plan.answer_by:
+    if not idempotent:
+        return None
+    if now + IDEMPOTENT_OBJECTIVES * objective_s > plan.answer_by:
         return None
     return replace(
         deadlines,
--- a/packages/kumquatchuted/src/kumquatchuted/front/tests/test_shutdown.py
+++ b/packages/kumquatchuted/src/kumquatchuted/front/tests/test_shutdown.py
@@ -44,17 +44,25 @@
 
 
 def test_late_request_is_refused_before_it_runs() -> None:
-    """Guards against requests that may run and get no result.
-
-    One that may run only once is refused earlier, because its caller must not
-    send it again after a timeout.
-    """
-    assert admit(3.0, 6.0, idempotent=False) is not None
-    assert admit(4.0, 6.0, idempotent=False) is None
+    """Guards against requests that may run and get no result."""
     assert admit(4.0, 6.0, idempotent=True) is not None
     assert admit(4.9, 6.0, idempotent=True) is None
 
 
+def test_at_most_once_request_keeps_its_deadline() -> None:
+    """Guards against at-most-once requests that a stopping node gives up.
+
+    One that was accepted with 1.2 s left, and whose searcher needed 1.21 s,
+    was answered with a timeout, so that its caller must not send it again.
+    """
+    for step in range(60):
+        at = step * 0.1
+        deadlines = admit(at, 3.0, idempotent=False)
+        assert deadlines in (None, RequestDeadlines(at + 0.4, at + 3.0)), at
+    assert admit(2.4, 3.0, idempotent=False) is not None
+    assert admit(2.5, 3.0, idempotent=False) is None
+
+
 def test_grace_shorter_than_the_margins_refuses_everything() -> None:
     """Guards against times in the past."""
     plan = plan_shutdown(10.0, 0.1)
