Merge all responses that arrived during a pause of the node

Callers got answers that lacked parts which the searchers had sent in time, and hedges of attempts that were already answered used up the retry budget. With a pause beyond the deadline they got 504 although all parts had arrived.

Cause: the task of a query took one message at a time and decided after each. After a pause the soft deadline has passed, so that the query ended as soon as the first responses reached the minimum coverage. The timers of hedges and of the deadline fire in the turn of the event loop in which the responses are read, two task switches before they are in the mailbox.

decide_all applies several events and decides hedges and the end after all of them. The task takes all messages of its mailbox; after a timer fired, or once the soft deadline has passed, also by a message that moves it, it gives the event loop four turns and takes what has arrived before it decides. A retry is not sent if the same events hold a response for its shard.

The last case was for a pause of 0.34 s and is now played for 2.5 s too. The longest pause is new for all cases.

--- a/packages/kumquatchuted/src/kumquatchuted/gather/decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/decide.py
@@ -7,6 +7,7 @@
 coverage suffices.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import replace
 
@@ -77,22 +78,59 @@
 def decide(
     state: QueryState, event: Event, now: float
 ) -> tuple[QueryState, tuple[Action, ...]]:
-    """Return the state after an event, and the actions to take.
+    """Return the state after one event, and the actions to take.
 
-    If the query ends, ``Finish`` is the only action.
+    :param now: monotonic time in seconds
+    """
+    return decide_all(state, (event,), now)
+
+
+def decide_all(
+    state: QueryState, events: Sequence[Event], now: float
+) -> tuple[QueryState, tuple[Action, ...]]:
+    """Return the state after several events, and the actions to take.
+
+    Hedges and the end are decided after all events. Otherwise a node that has
+    not run for a while would decide on the first of the responses that have
+    arrived meanwhile. If the query ends, ``Finish`` is the only action.
 
     :param now: monotonic time in seconds
     """
     actions: tuple[Action, ...] = ()
+    has_timer_fired = False
+    for event in events:
+        match event:
+            case Started():
+                return _on_started(state)
+            case QueryNotSent(usable=usable, retry_after_s=retry_after_s):
+                finish = _on_query_not_sent(state, usable, retry_after_s)
+                return state, (finish,)
+            case TimerFired():
+                has_timer_fired = True
+            case _:
+                state, retries = _apply(state, event, now)
+                actions += retries
+    if has_timer_fired:
+        state, hedges = _hedge_slow_shards(state, now)
+        actions += hedges
+    finish = _finish(state, now)
+    if finish is not None:
+        return state, (finish,)
+    return state, _without_answered(state, actions)
+
+
+def _on_started(state: QueryState) -> tuple[QueryState, tuple[Action, ...]]:
+    shards = tuple(
+        retry_progress.add_attempt(progress) for progress in state.shards
+    )
+    return replace(state, shards=shards), (SendAll(min_shards(state.plan)),)
+
+
+def _apply(
+    state: QueryState, event: Event, now: float
+) -> tuple[QueryState, tuple[SendShard, ...]]:
+    """Return the state after an event, and the retries that it causes."""
     match event:
-        case Started():
-            shards = tuple(
-                retry_progress.add_attempt(progress)
-                for progress in state.shards
-            )
-            return replace(state, shards=shards), (
-                SendAll(min_shards(state.plan)),
-            )
         case ShardAssigned(
             shard=shard, searcher=searcher, hedge_delay_s=hedge_delay_s
         ):
@@ -101,20 +139,28 @@
             )
             return _with_shard(state, shard, progress), ()
         case ShardDone(shard=shard, result=result):
-            policy = state.plan.policy
-            state, actions = _on_shard_done(state, shard, result, policy)
+            return _on_shard_done(state, shard, result, state.plan.policy)
         case ShardsDelegated():
             return _on_shards_delegated(state, event), ()
         case DelegationDone():
-            state, actions = _on_delegation_done(state, event)
+            return _on_delegation_done(state, event)
         case DeadlineMoved(deadline=deadline):
-            state, actions = _limit_deadlines(state, deadline), ()
-        case QueryNotSent(usable=usable, retry_after_s=retry_after_s):
-            return state, (_on_query_not_sent(state, usable, retry_after_s),)
-        case TimerFired():
-            state, actions = _hedge_slow_shards(state, now)
-    finish = _finish(state, now)
-    return state, actions if finish is None else (finish,)
+            return _limit_deadlines(state, deadline), ()
+    return state, ()
+
+
+def _without_answered(
+    state: QueryState, actions: tuple[SendShard, ...]
+) -> tuple[SendShard, ...]:
+    """Return the actions without retries of shards that have a response.
+
+    A failure and the response to a hedge can be among the same events.
+    """
+    return tuple(
+        action
+        for action in actions
+        if state.shards[action.shard].response is None
+    )
 
 
 def next_wake_at(state: QueryState, now: float) -> float:
@@ -162,7 +208,7 @@
     shard: int,
     result: object,
     policy: retry_progress.RetryPolicy,
-) -> tuple[QueryState, tuple[Action, ...]]:
+) -> tuple[QueryState, tuple[SendShard, ...]]:
     progress, retry = retry_progress.apply_result(
         state.shards[shard], result, policy
     )
@@ -175,7 +221,7 @@
 
 def _hedge_slow_shards(
     state: QueryState, now: float
-) -> tuple[QueryState, tuple[Action, ...]]:
+) -> tuple[QueryState, tuple[SendShard, ...]]:
     actions = []
     for shard, progress in enumerate(state.shards):
         if retry_progress.is_hedge_due(progress, state.plan.policy, now):
@@ -249,7 +295,7 @@
 
 def _on_delegation_done(
     state: QueryState, event: DelegationDone
-) -> tuple[QueryState, tuple[Action, ...]]:
+) -> tuple[QueryState, tuple[SendShard, ...]]:
     for shard, response in event.responses:
         progress = retry_progress.apply_delegated_response(
             state.shards[shard], response
@@ -267,7 +313,7 @@
     result = event.failure or NoResponse(
         "the other node has no response", was_sent=True
     )
-    actions: tuple[Action, ...] = ()
+    actions: tuple[SendShard, ...] = ()
     for shard in event.shards:
         if shard not in covered:
             if event.failure is not None and not event.failure.was_sent:
--- a/packages/kumquatchuted/src/kumquatchuted/gather/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 import itertools
 
 from logbook import Logger
 
-from kumquatchuted.gather.decide import decide
+from kumquatchuted.gather.decide import decide_all
 from kumquatchuted.gather.decide import initial_state
 from kumquatchuted.gather.decide import next_wake_at
 from kumquatchuted.gather.decide import partial_deadline
@@ -24,12 +25,14 @@
 from kumquatchuted.gather.messages import ShardsDelegated
 from kumquatchuted.gather.messages import Started
 from kumquatchuted.gather.messages import TimerFired
+from kumquatchuted.mailbox import await_delivery
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.mailbox import Post
 from kumquatchuted.partials.messages import AbandonPartialQuery
 from kumquatchuted.partials.messages import PartialQueryAssigned
 from kumquatchuted.partials.messages import PartialQueryDone
 from kumquatchuted.retries.messages import DeadlineMoved
+from kumquatchuted.retries.messages import limit_deadline
 from kumquatchuted.retries.progress import RetryPolicy
 from kumquatchuted.routing.messages import AllShards
 from kumquatchuted.routing.messages import Route
@@ -148,23 +151,41 @@
                 self._post_partial(AbandonPartialQuery(key))
 
     async def _run(self) -> Finish:
-        finish = self._step(Started())
+        finish = self._step((Started(),))
         while finish is None:
-            event = await self._next_event()
-            finish = None if event is None else self._step(event)
+            finish = self._step(await self._next_events())
         return finish
 
-    async def _next_event(self) -> Event | None:
-        now = self._clock()
-        wait_s = max(0.0, next_wake_at(self._state, now) - now)
-        try:
-            message = self.mailbox.get_nowait()
-        except asyncio.QueueEmpty:
+    async def _next_events(self) -> list[Event]:
+        """Wait for events and return all that have occurred.
+
+        After a pause of the node, the timer or the first response can be ready
+        before the other responses that have arrived. These are awaited before
+        a hedge or the end of the query is decided on.
+        """
+        messages = self.mailbox.take_all()
+        has_timer_fired = False
+        if not messages:
+            now = self._clock()
+            wait_s = max(0.0, next_wake_at(self._state, now) - now)
             try:
                 async with asyncio.timeout(wait_s):
-                    message = await self.mailbox.get()
+                    messages.append(await self.mailbox.get())
             except TimeoutError:
-                return TimerFired()
+                has_timer_fired = True
+        soft_deadline = limit_deadline(
+            self._state.plan.soft_deadline, messages
+        )
+        if has_timer_fired or self._clock() >= soft_deadline:
+            await await_delivery()
+        messages += self.mailbox.take_all()
+        events = [self._read(message) for message in messages]
+        if has_timer_fired:
+            events.append(TimerFired())
+        return [event for event in events if event is not None]
+
+    def _read(self, message: object) -> Event | None:
+        """Return the event that a message reports, and note its attempt."""
         match message:
             case AttemptAssigned(
                 key=key, searcher=searcher, hedge_delay_s=hedge_delay_s
@@ -193,8 +214,8 @@
                 return QueryNotSent(usable, retry_after_s)
         return None
 
-    def _step(self, event: Event) -> Finish | None:
-        self._state, actions = decide(self._state, event, self._clock())
+    def _step(self, events: Sequence[Event]) -> Finish | None:
+        self._state, actions = decide_all(self._state, events, self._clock())
         for action in actions:
             if isinstance(action, Finish):
                 return action
--- a/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
@@ -333,3 +333,49 @@
         20, RetryPolicy(2, False), SOFT_DEADLINE, DEADLINE, 0.85
     )
     assert gather_decide.min_shards(plan) == 17
+
+
+def test_responses_of_the_same_time_are_all_merged() -> None:
+    """Guards against an answer without parts that have arrived.
+
+    After a pause of the node, all responses are there and the soft deadline
+    has passed. The first two already cover enough shards.
+    """
+    for now in (SOFT_DEADLINE + 0.01, DEADLINE + 0.01):
+        events = [ShardDone(n, shard_response(n)) for n in range(SHARDS)]
+        _, actions = gather_decide.decide_all(
+            sent_query(min_coverage=0.5), (TimerFired(), *events), now
+        )
+        assert [type(action) for action in actions] == [Finish]
+        assert actions[0].missing == 0
+
+
+def test_shard_whose_response_has_arrived_is_not_hedged() -> None:
+    """Guards against hedges that use up the retry budget.
+
+    The timer of the hedge fires in the same turn of the event loop in which
+    the response arrives.
+    """
+    state = after_responses(sent_query(), 0, 1)
+    events = (TimerFired(), ShardDone(3, shard_response(3)))
+    _, actions = gather_decide.decide_all(state, events, 0.03)
+    assert actions == (SendShard(2, ("a2",), is_retry=True),)
+
+
+def test_shard_whose_hedge_has_succeeded_is_not_retried() -> None:
+    """Guards against a retry that is sent although its shard has a response.
+
+    The first attempt fails at the time at which its hedge succeeds.
+    """
+    state, _ = gather_decide.decide(
+        after_responses(sent_query(), 0, 1), TimerFired(), 0.03
+    )
+    state, _ = gather_decide.decide(state, ShardAssigned(3, "b3", 0.03), 0.03)
+    events = (
+        ShardDone(3, NoResponse("closed", was_sent=False)),
+        ShardDone(3, shard_response(3)),
+    )
+    _, actions = gather_decide.decide_all(state, events[:1], 0.04)
+    assert [action.shard for action in actions] == [3]
+    _, actions = gather_decide.decide_all(state, events, 0.04)
+    assert not actions
--- a/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_paused_node.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_paused_node.py
@@ -9,6 +9,7 @@
 from kumquatchuted.gateway.tests.example_settings import EXAMPLE_SETTINGS
 from kumquatchuted.gather.messages import Finish
 from kumquatchuted.gather.task import GatherTask
+from kumquatchuted.retries.messages import DeadlineMoved
 from kumquatchuted.routing.messages import AllShards
 from kumquatchuted.routing.messages import Route
 from kumquatchuted.searchers.messages import OutgoingRequest
@@ -22,24 +23,32 @@
 
 SHARDS = ("s0", "s1", "s2", "s3")
 OBJECTIVE_S = 0.3
+SOFT_DEADLINE_S = 0.9 * OBJECTIVE_S
 TIMEOUT_S = 2.0
 RESPONSE_S = 0.011
 PAUSE_AT_S = 0.005
-# Longer than the delay of a hedge, and longer than the soft deadline.
-PAUSES_S = (0.12, 0.34)
+# Longer than the delay of a hedge, the soft deadline and the deadline.
+PAUSES_S = (0.12, 0.34, 2.5)
 # The searchers of the first shard.
 SILENT_PORTS = (1, 2)
+# Time that a query has left when the node stops.
+STOP_S = 0.05
 # Seeds of the order in which callbacks run that are ready at the same time.
 SEEDS = range(20)
 
 
 def play_query(
-    pause_s: float, seed: int, silent_ports: tuple[int, ...] = ()
+    pause_s: float,
+    seed: int,
+    silent_ports: tuple[int, ...] = (),
+    stopped_at_s: float | None = None,
 ) -> tuple[Finish, Counter[str], float]:
     """Run a query during which the node pauses once.
 
     :param pause_s: time for which the node does not run, in seconds
     :param silent_ports: ports of searchers that do not respond
+    :param stopped_at_s: when the node is told to stop, and the query has
+        ``STOP_S`` left; None if it is not
     :returns: result, counts of events of the node and duration in seconds
     """
 
@@ -72,12 +81,15 @@
             route,
             shards,
             OutgoingRequest(b"r1", b"GET", head, b""),
-            started_at + 0.9 * OBJECTIVE_S,
+            started_at + SOFT_DEADLINE_S,
             started_at + TIMEOUT_S,
             searchers.mailbox.post,
             loop.time,
         )
         loop.call_later(PAUSE_AT_S, loop.pause, pause_s)
+        if stopped_at_s is not None:
+            moved = DeadlineMoved(started_at + stopped_at_s + STOP_S)
+            loop.call_later(stopped_at_s, task.mailbox.post, moved)
         finish = await task.run()
         duration_s = loop.time() - started_at
         running.cancel()
@@ -115,14 +127,27 @@
         assert not counts["repeats"], seed
 
 
-def test_paused_node_does_not_wait_for_more_responses() -> None:
+@pytest.mark.parametrize("pause_s", PAUSES_S[1:])
+def test_paused_node_does_not_wait_for_more_responses(pause_s: float) -> None:
     """Guards against an answer that is later than the pause makes it.
 
     The searchers of one shard do not respond. After the soft deadline the node
     answers with the other parts as soon as it runs.
     """
     for seed in SEEDS:
-        finish, _, duration_s = play_query(0.34, seed, SILENT_PORTS)
+        finish, _, duration_s = play_query(pause_s, seed, SILENT_PORTS)
         assert finish.failure is None, seed
         assert finish.missing == 1, seed
-        assert duration_s == pytest.approx(0.34 + PAUSE_AT_S), seed
+        assert duration_s == pytest.approx(pause_s + PAUSE_AT_S), seed
+
+
+def test_responses_are_merged_if_the_node_stops_before_its_pause() -> None:
+    """Guards against a deadline that a stop has moved into the pause.
+
+    The message that moves it is handled after the pause, when the deadline has
+    passed.
+    """
+    for seed in SEEDS:
+        finish, _, _ = play_query(0.12, seed, stopped_at_s=PAUSE_AT_S)
+        assert finish.failure is None, seed
+        assert finish.missing == 0, seed
--- a/packages/kumquatchuted/src/kumquatchuted/retries/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/messages.py
@@ -1,5 +1,6 @@
 """Messages to the tasks of requests."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 
@@ -12,3 +13,15 @@
     """
 
     deadline: float
+
+
+def limit_deadline(deadline: float, messages: Iterable[object]) -> float:
+    """Return the deadline after the messages that move it.
+
+    :param deadline: monotonic time in seconds
+    :param messages: messages to the task of a request, of any kind
+    """
+    for message in messages:
+        if isinstance(message, DeadlineMoved):
+            deadline = min(deadline, message.deadline)
+    return deadline
