Wake a query for a soft deadline that passes beside a decision

A query whose node was paused at the wrong moment was answered at its deadline, 2.0 s after its start, although its coverage sufficed at the soft deadline.

Cause: after a decision the next time to wake up was chosen by a new read of the clock. If the soft deadline had passed since the decision, it was taken as handled, and the deadline was next. The time of the decision is used for the choice now, so that the timer fires at once.

--- a/packages/kumquatchuted/src/kumquatchuted/gather/decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/decide.py
@@ -166,7 +166,8 @@
 def next_wake_at(state: QueryState, now: float) -> float:
     """Return when ``TimerFired`` is due if no other event occurs before.
 
-    :param now: monotonic time in seconds
+    :param now: monotonic time of the last decision, in seconds; with a later
+        one a soft deadline that has passed since would be skipped
     :returns: time of the next hedge or deadline, in monotonic seconds
     """
     plan = state.plan
--- a/packages/kumquatchuted/src/kumquatchuted/gather/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -113,6 +113,8 @@
         self._clock = clock
         self._pending: set[QueryKey] = set()
         self._ended: list[QueryKey] = []
+        # Time of the last decision, in monotonic seconds.
+        self._decided_at = 0.0
         self._state = initial_state(
             QueryPlan(
                 len(destination.shards),
@@ -166,8 +168,8 @@
         messages = self.mailbox.take_all()
         has_timer_fired = False
         if not messages:
-            now = self._clock()
-            wait_s = max(0.0, next_wake_at(self._state, now) - now)
+            wake_at = next_wake_at(self._state, self._decided_at)
+            wait_s = max(0.0, wake_at - self._clock())
             try:
                 async with asyncio.timeout(wait_s):
                     messages.append(await self.mailbox.get())
@@ -215,7 +217,10 @@
         return None
 
     def _step(self, events: Sequence[Event]) -> Finish | None:
-        self._state, actions = decide_all(self._state, events, self._clock())
+        self._decided_at = self._clock()
+        self._state, actions = decide_all(
+            self._state, events, self._decided_at
+        )
         for action in actions:
             if isinstance(action, Finish):
                 return action
--- a/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_paused_node.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_paused_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+import itertools
 import random
 
 import pytest
@@ -41,12 +42,15 @@
     pause_s: float,
     seed: int,
     silent_ports: tuple[int, ...] = (),
+    paused_read: int | None = None,
     stopped_at_s: float | None = None,
 ) -> tuple[Finish, Counter[str], float]:
     """Run a query during which the node pauses once.
 
     :param pause_s: time for which the node does not run, in seconds
     :param silent_ports: ports of searchers that do not respond
+    :param paused_read: the node pauses before the query reads the clock for
+        this time, counted from 0; None if it pauses at ``PAUSE_AT_S``
     :param stopped_at_s: when the node is told to stop, and the query has
         ``STOP_S`` left; None if it is not
     :returns: result, counts of events of the node and duration in seconds
@@ -61,6 +65,12 @@
 
     loop = NetworkLoop(respond, rng=random.Random(seed))
     counts: Counter[str] = Counter()
+    reads = itertools.count()
+
+    def read_clock() -> float:
+        if next(reads) == paused_read:
+            loop.pause(pause_s)
+        return loop.time()
 
     async def main() -> tuple[Finish, float]:
         searchers = SearchersTask(
@@ -84,9 +94,10 @@
             started_at + SOFT_DEADLINE_S,
             started_at + TIMEOUT_S,
             searchers.mailbox.post,
-            loop.time,
+            read_clock,
         )
-        loop.call_later(PAUSE_AT_S, loop.pause, pause_s)
+        if paused_read is None:
+            loop.call_later(PAUSE_AT_S, loop.pause, pause_s)
         if stopped_at_s is not None:
             moved = DeadlineMoved(started_at + stopped_at_s + STOP_S)
             loop.call_later(stopped_at_s, task.mailbox.post, moved)
@@ -141,6 +152,26 @@
         assert duration_s == pytest.approx(pause_s + PAUSE_AT_S), seed
 
 
+@pytest.mark.parametrize("silent_ports", [(), SILENT_PORTS])
+@pytest.mark.parametrize("paused_read", range(20))
+def test_soft_deadline_that_passes_beside_a_decision_ends_the_query(
+    paused_read: int, silent_ports: tuple[int, ...]
+) -> None:
+    """Guards against a query that misses its soft deadline.
+
+    The node pauses before any read of the clock. If the soft deadline passed
+    between a decision and the choice of the next time to wake up, the query
+    waited for its deadline of 2 s.
+    """
+    for seed in SEEDS:
+        finish, _, duration_s = play_query(
+            0.34, seed, silent_ports, paused_read
+        )
+        assert finish.failure is None, seed
+        assert finish.missing == bool(silent_ports), seed
+        assert duration_s < SOFT_DEADLINE_S + 0.34 + RESPONSE_S, seed
+
+
 def test_responses_are_merged_if_the_node_stops_before_its_pause() -> None:
     """Guards against a deadline that a stop has moved into the pause.
 
