Take responses that arrived during a pause before a request is hedged or ended

After a pause of the node, a request to one searcher was hedged although its response had arrived. If a planned stop had moved the deadline into the pause, the caller got 504 in place of the response.

Cause: as with queries, the timer fires before the response is in the mailbox, and the message that moves the deadline was applied alone.

The task takes all messages of its mailbox. After a timer fired, or when the time of the hedge or the deadline has passed, also by a message that moves it, it gives the event loop the turns of await_delivery before it decides. Nothing changes for messages that come earlier.

--- a/packages/kumquatchuted/src/kumquatchuted/forward/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/task.py
@@ -9,9 +9,11 @@
 from kumquatchuted.forward.decide import conclude
 from kumquatchuted.forward.decide import conclude_timeout
 from kumquatchuted.forward.decide import ForwardResult
+from kumquatchuted.mailbox import await_delivery
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.mailbox import Post
 from kumquatchuted.retries.messages import DeadlineMoved
+from kumquatchuted.retries.messages import limit_deadline
 from kumquatchuted.retries import progress as retry_progress
 from kumquatchuted.routing.messages import Route
 from kumquatchuted.searchers.messages import AbandonAttempt
@@ -104,16 +106,9 @@
     async def _run(self) -> ForwardResult:
         self._send_attempt(is_retry=False)
         while True:
-            message = await self._next_message()
+            for message in await self._next_messages():
+                self._handle(message)
             now = self._clock()
-            match message:
-                case AttemptAssigned():
-                    self._assign(message, now)
-                case AttemptDone(key=key, result=result):
-                    self._end_attempt(key)
-                    self._apply_result(result)
-                case DeadlineMoved(deadline=deadline):
-                    self._deadline = min(self._deadline, deadline)
             if now >= self._deadline and not self._progress.is_settled():
                 return await self._end_at_deadline()
             if retry_progress.is_hedge_due(self._progress, self._policy, now):
@@ -121,6 +116,16 @@
             if self._progress.is_settled():
                 return conclude(self._progress, self._policy.at_most_once)
 
+    def _handle(self, message: object) -> None:
+        match message:
+            case AttemptAssigned():
+                self._assign(message, self._clock())
+            case AttemptDone(key=key, result=result):
+                self._end_attempt(key)
+                self._apply_result(result)
+            case DeadlineMoved(deadline=deadline):
+                self._deadline = min(self._deadline, deadline)
+
     async def _end_at_deadline(self) -> ForwardResult:
         """Withdraw the attempts and return the result.
 
@@ -165,18 +170,32 @@
         if retry is not None:
             self._send_attempt(retry.needs_budget)
 
-    async def _next_message(self) -> object | None:
-        wake_at = self._deadline
+    async def _next_messages(self) -> list[object]:
+        """Wait for messages and return all that there are.
+
+        None are returned if the time of a hedge or the deadline has come.
+        After a pause of the node, a response that has arrived is awaited
+        before a hedge or the end of the request is decided on.
+        """
+        wake_at = self._wake_at()
+        messages = self.mailbox.take_all()
+        if not messages:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(0.0, wake_at - self._clock())):
+                    messages = [await self.mailbox.get()]
+        wake_at = limit_deadline(wake_at, messages)
+        if not messages or self._clock() >= wake_at:
+            await await_delivery()
+            messages += self.mailbox.take_all()
+        return messages
+
+    def _wake_at(self) -> float:
         hedge_at = self._progress.hedge_at
         if hedge_at is not None and retry_progress.can_retry(
             self._progress, self._policy
         ):
-            wake_at = min(wake_at, hedge_at)
-        try:
-            async with asyncio.timeout(max(0.0, wake_at - self._clock())):
-                return await self.mailbox.get()
-        except TimeoutError:
-            return None
+            return min(self._deadline, hedge_at)
+        return self._deadline
 
     def _send_attempt(self, is_retry: bool) -> None:
         self.attempt_count += 1
