Keep connections that opened while the node was paused

The node ended connects that the kernel had completed with a TimeoutError, took the searchers for unreachable and possibly restarted, and repeated the attempts elsewhere.

After a pause the timer of asyncio.timeout and the established connection are due in the same turn of the event loop. The connection needs further turns (sock_connect completes through a future, the transport calls connection_made in a later turn), so that the cancellation always won.

The timeout now ends with up to GRACE_TURNS turns of the event loop without waiting, in which it reads what the kernel already has. A connect that is not complete by then fails as before, and CONNECT_TIMEOUT_S is unchanged.

--- a/packages/kumquatchuted/src/kumquatchuted/searchers/connect.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connect.py
@@ -7,6 +7,7 @@
 
 from kumquatchuted.searchers.connection import Connection
 from kumquatchuted.searchers.connection import ConnectionClosed
+from kumquatchuted.timeouts import wait_until_done
 
 # Cause of a connect that failed because this process has no descriptor left.
 OUT_OF_DESCRIPTORS = "out of descriptors"
@@ -29,11 +30,13 @@
     :param host: IP address
     """
     loop = asyncio.get_running_loop()
+    connecting = asyncio.ensure_future(
+        loop.create_connection(lambda: connection, host, port)
+    )
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            transport, _ = await loop.create_connection(
-                lambda: connection, host, port
-            )
+        if not await wait_until_done(connecting, CONNECT_TIMEOUT_S):
+            raise TimeoutError
+        transport, _ = connecting.result()
     except OSError as exc:
         # TimeoutError is an OSError.
         reason = type(exc).__name__
@@ -41,6 +44,10 @@
             reason = OUT_OF_DESCRIPTORS
         post(ConnectionClosed(connection, None, reason))
         return
+    finally:
+        connecting.cancel()
+    if transport.is_closing():
+        return
     sock = transport.get_extra_info("socket")
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
--- /dev/null
+++ b/packages/kumquatchuted/src/kumquatchuted/timeouts.py
@@ -0,0 +1,29 @@
+"""Timeouts that a pause of the process does not turn into failures."""
+
+import asyncio
+
+# Turns of the event loop after a timeout. A connect that the kernel completed
+# takes four until the connection is open.
+GRACE_TURNS = 10
+
+
+async def wait_until_done(fut: asyncio.Future, timeout_s: float) -> bool:
+    """Wait for a future, but not for longer than a timeout.
+
+    A process that did not run for a while finds its timers and what has
+    arrived meanwhile due together, and a timer needs fewer turns of the event
+    loop than a result that comes from a socket. After the timeout the event
+    loop therefore gets ``GRACE_TURNS`` turns, without waiting, to deliver what
+    the kernel already has.
+
+    The future is neither cancelled nor its exception raised.
+
+    :param timeout_s: seconds
+    :returns: whether the future is done
+    """
+    await asyncio.wait((fut,), timeout=max(0.0, timeout_s))
+    for _ in range(GRACE_TURNS):
+        if fut.done():
+            break
+        await asyncio.sleep(0)
+    return fut.done()
