Use partial responses that arrived while the node was paused

A node that did not run past the time limit of a partial query logged "partial query lost ... cause=TimeoutError" although the other node had responded in time. Its shards were asked again, and the other node got no partial queries for 1 s, and for up to 8 s after repeated pauses.

The total timeout of aiohttp cancels the call in the turn of the event loop in which the response is read from the socket.

The call is a task now, and wait_until_done gives it some turns of the event loop after the time limit to take what the kernel has. The time limit is unchanged, and the turns do not wait.

Evidence: without the fix test_response_that_arrives_during_a_pause_is_used fails (NoResponse 'TimeoutError', then no usable node); the process of the test is blocked for 0.64 s. With it, it passes, as do the other tests of partials/ that were run (test_partial_copies, test_unexpected_errors, test_partials).

--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -34,6 +34,7 @@
 from kumquatchuted.partials.nodes import record_failure
 from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.searchers.messages import NoResponse
+from kumquatchuted.timeouts import wait_until_done
 
 log = Logger("partials")
 
@@ -189,9 +190,24 @@
                 query.leaving,
             )
         )
+        exchange = asyncio.ensure_future(self._exchange(node, query, body))
+        try:
+            timeout_s = max(0.0, latest_s) + RESPONSE_GRACE_S
+            if not await wait_until_done(exchange, timeout_s):
+                return NoResponse(TimeoutError.__name__, was_sent=True)
+            return exchange.result()
+        finally:
+            exchange.cancel()
+
+    async def _exchange(
+        self, node: Node, query: SendPartialQuery, body: bytes
+    ) -> PartialQueryResponse | NoResponse:
+        """Send an encoded query and read its response.
+
+        The caller ends it at the time limit.
+        """
         timeout = aiohttp.ClientTimeout(
-            total=max(0.0, latest_s) + RESPONSE_GRACE_S,
-            sock_connect=CONNECT_TIMEOUT_S,
+            total=None, sock_connect=CONNECT_TIMEOUT_S
         )
         url = f"http://{node.address}/partials"
         number = str(next(self._numbers))
