Keep connections to other nodes that opened during a pause

A node that did not run for 50 ms while it connected to another node logged "partial query lost ... cause=ConnectionTimeoutError" although the kernel had opened the connection. The other node got no partial queries for 1 s, and for up to 8 s after repeated pauses.

The connect timeout of aiohttp cancels the connect in the turn of the event loop in which the connection is found to be open, as in searchers/connect.py.

A trace of the session ends a future once the request has a connection, and wait_until_done gives it some turns of the event loop after CONNECT_TIMEOUT_S, which is unchanged. Nothing was sent before that, so that a query without a connection still counts as not sent. If the time limit of the query is shorter than CONNECT_TIMEOUT_S, a query without a connection counts as not sent too; until now it counted as sent.

--- a/packages/kumquatchuted/src/kumquatchuted/partials/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/task.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import itertools
 import random
+from types import SimpleNamespace
 
 import aiohttp
 from logbook import Logger
@@ -190,31 +191,49 @@
                 query.leaving,
             )
         )
-        exchange = asyncio.ensure_future(self._exchange(node, query, body))
+        ends_at = now + max(0.0, latest_s) + RESPONSE_GRACE_S
+        connected = asyncio.get_running_loop().create_future()
+        exchange = asyncio.ensure_future(
+            self._exchange(node, query, body, connected)
+        )
+        exchange.add_done_callback(lambda _: _set_done(connected))
         try:
-            timeout_s = max(0.0, latest_s) + RESPONSE_GRACE_S
-            if not await wait_until_done(exchange, timeout_s):
+            connect_s = min(CONNECT_TIMEOUT_S, ends_at - self._clock())
+            if not await wait_until_done(connected, connect_s):
+                return NoResponse(
+                    aiohttp.ConnectionTimeoutError.__name__, was_sent=False
+                )
+            if not await wait_until_done(exchange, ends_at - self._clock()):
                 return NoResponse(TimeoutError.__name__, was_sent=True)
             return exchange.result()
         finally:
             exchange.cancel()
 
     async def _exchange(
-        self, node: Node, query: SendPartialQuery, body: bytes
+        self,
+        node: Node,
+        query: SendPartialQuery,
+        body: bytes,
+        connected: asyncio.Future,
     ) -> PartialQueryResponse | NoResponse:
         """Send an encoded query and read its response.
 
-        The caller ends it at the time limit.
+        The caller ends it at its timeouts. Those of aiohttp are not used,
+        because they discard what arrived while the process was paused.
+
+        :param connected: done once there is a connection for the query
         """
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_S
-        )
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=None)
         url = f"http://{node.address}/partials"
         number = str(next(self._numbers))
         headers = {NUMBER_HEADER: number}
         try:
             async with self._get_session().post(
-                url, data=body, headers=headers, timeout=timeout
+                url,
+                data=body,
+                headers=headers,
+                timeout=timeout,
+                trace_request_ctx=connected,
             ) as http_response:
                 if http_response.headers.get(NUMBER_HEADER) != number:
                     http_response.close()
@@ -228,8 +247,6 @@
                     )
         except aiohttp.ClientConnectorError as exc:
             return NoResponse(f"{type(exc).__name__} {exc}", was_sent=False)
-        except aiohttp.ConnectionTimeoutError as exc:
-            return NoResponse(f"{type(exc).__name__} {exc}", was_sent=False)
         except (aiohttp.ClientError, OSError) as exc:
             # TimeoutError is an OSError.
             return NoResponse(f"{type(exc).__name__} {exc}", was_sent=True)
@@ -260,11 +277,34 @@
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(limit=0),
+                trace_configs=[_new_connected_trace()],
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             )
         return self._session
 
 
+def _set_done(fut: asyncio.Future) -> None:
+    if not fut.done():
+        fut.set_result(None)
+
+
+def _new_connected_trace() -> aiohttp.TraceConfig:
+    """Return a trace that ends the future in ``trace_request_ctx``.
+
+    It is done when the request has a connection, an open or a new one.
+    """
+
+    async def on_connected(
+        session: aiohttp.ClientSession, ctx: SimpleNamespace, params: object
+    ) -> None:
+        _set_done(ctx.trace_request_ctx)
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(on_connected)
+    trace.on_connection_reuseconn.append(on_connected)
+    return trace
+
+
 def _shard_responses(
     node: Node,
     query: SendPartialQuery,
--- a/packages/kumquatchuted/src/kumquatchuted/partials/tests/test_paused_partials.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/tests/test_paused_partials.py
@@ -9,6 +9,8 @@
 import threading
 import time
 
+import pytest
+
 from kumquatchuted.gateway.tests.example_settings import EXAMPLE_SETTINGS
 from kumquatchuted.membership.messages import MembersChanged
 from kumquatchuted.membership.messages import Node
@@ -17,6 +19,7 @@
 from kumquatchuted.partials.messages import PartialQueryDone
 from kumquatchuted.partials.messages import PartialQueryResponse
 from kumquatchuted.partials.messages import SendPartialQuery
+from kumquatchuted.partials.task import CONNECT_TIMEOUT_S
 from kumquatchuted.partials.task import PartialsTask
 from kumquatchuted.partials.task import RESPONSE_GRACE_S
 from kumquatchuted.partials.tests.test_partial_copies import build_query
@@ -112,11 +115,31 @@
         server.join()
 
 
-def test_response_that_arrives_during_a_pause_is_used() -> None:
+@pytest.mark.parametrize("turns", range(8))
+def test_connection_that_opens_during_a_pause_is_used(turns: int) -> None:
     """Guards against healthy nodes that get no queries for a second or more.
 
-    The node paused beyond the deadline. The shards of the partial query were
-    asked again, although the other node had responded in time.
+    A node that paused for longer than the timeout of a connect took the other
+    one for unreachable, although the kernel had opened the connection.
+    """
+
+    async def scenario(ask: Ask) -> list[PartialQueryDone]:
+        first = asyncio.ensure_future(ask(1))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        time.sleep(2 * CONNECT_TIMEOUT_S)
+        return [await first, await ask(2)]
+
+    with other_node() as (listener, _):
+        results = run_on_node(listener, scenario)
+    assert [done.failure for done in results] == [None, None]
+
+
+def test_response_that_arrives_during_a_pause_is_used() -> None:
+    """Guards against the same if the pause lasts beyond the deadline.
+
+    The shards of the partial query were asked again, and the other node got no
+    queries, although it had responded in time.
     """
 
     async def scenario(ask: Ask) -> list[PartialQueryDone]:
@@ -131,6 +154,32 @@
     assert [done.failure for done in results] == [None, None]
 
 
+def test_connect_that_does_not_complete_ends_at_its_timeout() -> None:
+    """Guards against a query that waits for a node that is unreachable.
+
+    Nothing was sent, so that its shards may be asked again.
+    """
+
+    async def scenario(ask: Ask) -> list[PartialQueryDone]:
+        started_at = time.monotonic()
+        done = await ask(1)
+        assert time.monotonic() - started_at < DEADLINE_S
+        return [done]
+
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(
+            socket.create_server(("127.0.0.1", 0), backlog=0)
+        )
+        # The kernel ignores connects beyond the backlog.
+        for _ in range(4):
+            conn = stack.enter_context(socket.socket())
+            conn.setblocking(False)
+            conn.connect_ex(listener.getsockname())
+        (done,) = run_on_node(listener, scenario)
+    assert done.failure is not None
+    assert not done.failure.was_sent
+
+
 def test_node_that_does_not_respond_is_given_up_at_the_deadline() -> None:
     """Guards against a query that waits for a node that does not run."""
 
