Do not count a pause of this node as silence of its peers

A node that did not run for 1.5 s logged "link down" for all its peers when it ran again, although each of them had answered every heartbeat. DispatchTask then ends the attempts that run at those nodes with an unknown outcome, and attempts are refused until the links are up again.

send_heartbeat compared the time since the last response with RESPONSE_TIMEOUT_S. During a pause the node sends no heartbeats, so that no response can arrive.

Heartbeats are due every HEARTBEAT_INTERVAL_S. What a heartbeat is late by is time for which this process did not run; it is discounted from the silence. While the process runs, a silent peer is given up after the same time as before, also if it fell silent during a pause.

--- a/packages/kumquatchuted/src/kumquatchuted/peers/link.py
+++ b/packages/kumquatchuted/src/kumquatchuted/peers/link.py
@@ -83,6 +83,7 @@
         self._is_up = False
         self._seq = 0
         self._last_response = 0.0
+        self._last_heartbeat = clock()
         self._connect()
 
     def send_heartbeat(self) -> None:
@@ -91,6 +92,7 @@
         A connection without a response for ``RESPONSE_TIMEOUT_S`` is replaced
         first.
         """
+        self._discount_pause()
         since_response_s = self._clock() - self._last_response
         if self._is_up and since_response_s < HEARTBEAT_INTERVAL_S:
             return
@@ -100,6 +102,18 @@
         self._seq += 1
         self.send(Ping(self._seq, self._clock()))
 
+    def _discount_pause(self) -> None:
+        """Discount the time for which this process did not run.
+
+        It sent no heartbeats then and read no responses, so that the silence
+        says nothing about the peer.
+        """
+        now = self._clock()
+        paused_s = now - self._last_heartbeat - HEARTBEAT_INTERVAL_S
+        self._last_heartbeat = now
+        if paused_s > 0:
+            self._last_response = min(now, self._last_response + paused_s)
+
     def send(self, message: object) -> bool:
         """Pass a message to ZeroMQ.
 
