Use responses to writes that arrived while the process was paused

A process that did not run past the timeout of a write to the store took its outcome for unknown, although the store had answered in time. The entry of the node or the record of a submission is then read and written again. Leases and tickets have a timer of their own around the call, which this commit does not change.

The total timeout of aiohttp cancels the call in the turn of the event loop in which the response is read from the socket. For reads this is wanted, because what they return gets out of date; the result of a write does not.

The call is a task now, and wait_until_done gives it some turns of the event loop after its timeout. Responses to reads that are complete only after the timeout are still not used.

Evidence: without the fix the three cases of test_answer_to_a_write_that_arrives_during_a_pause_is_used fail (POST, PUT, DELETE; the process is blocked for 0.4 s).

--- a/packages/kumquatchuted/src/kumquatchuted/platform/transport.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/transport.py
@@ -12,6 +12,7 @@
 from kumquatchuted.platform.outcomes import NoResponse
 from kumquatchuted.platform.outcomes import NotSent
 from kumquatchuted.platform.sockets import create_keep_alive_socket
+from kumquatchuted.timeouts import wait_until_done
 
 # A page of a listing is about 1 MB; the margin covers a store with larger
 # pages.
@@ -75,13 +76,18 @@
 
         A response to a read that is complete only after the timeout is not
         used: the process was suspended, and what was read is as old as that.
+        The response to a write says what happened to it, however old it is.
         """
         clock = asyncio.get_running_loop().time
         deadline = clock() + req.timeout_s
-        result = await self._call(req)
-        if req.method == "GET" and clock() > deadline:
-            return NoResponse("no answer from the store in time")
-        return result
+        exchange = asyncio.ensure_future(self._call(req))
+        try:
+            is_done = await wait_until_done(exchange, req.timeout_s)
+            if not is_done or (req.method == "GET" and clock() > deadline):
+                return NoResponse("no answer from the store in time")
+            return exchange.result()
+        finally:
+            exchange.cancel()
 
     async def _call(self, req: Request) -> Response | FailedCall:
         headers = {"Accept": "application/json"}
@@ -95,7 +101,7 @@
                 data=req.body,
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(
-                    total=req.timeout_s,
+                    total=None,
                     connect=req.connect_timeout_s,
                     ceil_threshold=CEIL_THRESHOLD_S,
                 ),
