Repeat a read whose response arrived during a pause

A node that did not run past the timeout of a watch or listing at another node took that node for silent, although it had responded in time: the followers of all topics left it for 1.5 s and listed their topics from others, among them the store, whose calls are charged.

The response is rightly not used, because it is as old as the pause. But it was reported like a source that does not respond (SourceUnresponsive).

Transport.call tells the two apart now: if the response to a read is complete after the timeout without further waiting, the read is repeated once, with its own timeout. A source that does not respond then counts as before.

--- a/packages/kumquatchuted/src/kumquatchuted/platform/transport.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/transport.py
@@ -76,18 +76,32 @@
 
         A response to a read that is complete only after the timeout is not
         used: the process was suspended, and what was read is as old as that.
-        The response to a write says what happened to it, however old it is.
+        The read is repeated once, because its source responds. The response to
+        a write says what happened to it, however old it is.
+        """
+        result = await self._call_once(req)
+        if result is None:
+            result = await self._call_once(req)
+        return result or NoResponse("no answer from the store in time")
+
+    async def _call_once(self, req: Request) -> Response | FailedCall | None:
+        """Send a request.
+
+        :returns: None if the response to a read is complete only after the
+            timeout
         """
         clock = asyncio.get_running_loop().time
         deadline = clock() + req.timeout_s
         exchange = asyncio.ensure_future(self._call(req))
         try:
-            is_done = await wait_until_done(exchange, req.timeout_s)
-            if not is_done or (req.method == "GET" and clock() > deadline):
+            if not await wait_until_done(exchange, req.timeout_s):
                 return NoResponse("no answer from the store in time")
-            return exchange.result()
+            result = exchange.result()
         finally:
             exchange.cancel()
+        if req.method == "GET" and clock() > deadline:
+            return None if isinstance(result, Response) else result
+        return result
 
     async def _call(self, req: Request) -> Response | FailedCall:
         headers = {"Accept": "application/json"}
