Keep a node from reading the store's objects from itself

What callers saw: nothing for certain.

Cause: the settings of all nodes name the same seeds, this node among them. A node left itself out only by the address in its entry. Before its entry is in the list, and where the entry has another address (a proxy), its own address stayed among the sources. Its relay has exactly the revision that the node has, so it is taken when another relay is one revision behind, and reports no change until its contact with the store is 2.5 s old.

Fix: the address of the node's own listener is never a source. Nodes of the emulated site get no seed that leads to themselves: a node cannot know the address of its proxy, and the users' settings name addresses of listeners.

Evidence: both cases of the new test fail with the former rule.

--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/site.py
@@ -320,7 +320,6 @@
             self._add_link(node_ports[2], ports)
             for _, _, node_ports in node_specs
         ]
-        seeds = ", ".join(f'"127.0.0.1:{port}"' for port in peer_ports[:3])
         nodes = []
         for node_store_port, peer_port, node_spec in zip(
             store_ports, peer_ports, node_specs
@@ -330,6 +329,12 @@
                 data_centre,
                 (front_port, ready_port, control_port, metrics_port),
             ) = node_spec
+            # A node cannot know the address at which a proxy leads to it.
+            seeds = ", ".join(
+                f'"127.0.0.1:{port}"'
+                for port in peer_ports[:3]
+                if port != peer_port
+            )
             settings_file = self.folder / f"{name}.toml"
             settings_file.write_text(
                 SETTINGS_TEMPLATE.format(
--- a/packages/kumquatchuted/src/kumquatchuted/membership/sources.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/sources.py
@@ -43,6 +43,7 @@
 
 def order_sources(
     node: str,
+    own_address: str,
     data_centre: str,
     nodes: Mapping[str, Node],
     seeds: tuple[str, ...],
@@ -53,13 +54,19 @@
     A reader prefers the store; other nodes prefer a relay, if one is known.
 
     :param node: name of the node
+    :param own_address: address of its listener for other nodes
     :param data_centre: data centre of the node
     :param nodes: known nodes by name
-    :param seeds: addresses of nodes that the settings name
+    :param seeds: addresses of nodes that the settings name; they can include
+        this node
     :param store: address of the store
     """
     others = [item for name, item in nodes.items() if name != node]
-    own_address = nodes[node].address if node in nodes else None
+    # The list of nodes may lack this node, or name an address at which others
+    # reach it, so that its entry alone does not identify it among the seeds.
+    own_addresses = {own_address}
+    if node in nodes:
+        own_addresses.add(nodes[node].address)
     others.sort(
         key=lambda item: (
             item.data_centre != data_centre,
@@ -69,7 +76,7 @@
     readers = _select_all_readers(node, data_centre, nodes)
     addresses = [item.address for item in others if item.name in readers]
     addresses += [item.address for item in others if item.name not in readers]
-    addresses += [address for address in seeds if address != own_address]
+    addresses += [address for address in seeds if address not in own_addresses]
     relays = [
         Source(address, is_store=False) for address in dict.fromkeys(addresses)
     ]
--- a/packages/kumquatchuted/src/kumquatchuted/membership/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/task.py
@@ -63,7 +63,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self._nodes: dict[str, Node] = {}
         self._sources = order_sources(
-            cfg.node, cfg.data_centre, {}, cfg.seeds, cfg.store
+            cfg.node, cfg.peers, cfg.data_centre, {}, cfg.seeds, cfg.store
         )
         self._unavailable_topics: set[Topic] = set()
 
@@ -161,7 +161,12 @@
         cfg = self._cfg
         former = self._sources[0]
         self._sources = order_sources(
-            cfg.node, cfg.data_centre, self._nodes, cfg.seeds, cfg.store
+            cfg.node,
+            cfg.peers,
+            cfg.data_centre,
+            self._nodes,
+            cfg.seeds,
+            cfg.store,
         )
         if self._sources[0] != former:
             log.info(
--- a/packages/kumquatchuted/src/kumquatchuted/membership/tests/emulated_fleet.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/emulated_fleet.py
@@ -82,7 +82,12 @@
         self._fleet = fleet
         client = ObjectClient(self, self.relay)
         sources = order_sources(
-            node.name, node.data_centre, fleet.members, (), STORE
+            node.name,
+            node.address,
+            node.data_centre,
+            fleet.members,
+            (),
+            STORE,
         )
         self._followers = [
             Follower(
--- a/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_sources.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_sources.py
@@ -1,5 +1,7 @@
 """Order of the sources of a node: the store and other nodes."""
 
+import pytest
+
 from kumquatchuted.membership.messages import Node
 from kumquatchuted.membership.sources import order_sources
 from kumquatchuted.membership.sources import Source
@@ -24,7 +26,9 @@
 def sources(name: str, nodes: dict[str, Node]) -> tuple[Source, ...]:
     """Return the sources of a node."""
     data_centre = nodes[name].data_centre
-    return order_sources(name, data_centre, nodes, (), STORE)
+    return order_sources(
+        name, nodes[name].address, data_centre, nodes, (), STORE
+    )
 
 
 def test_number_of_store_readers_does_not_grow_with_the_fleet() -> None:
@@ -58,8 +62,31 @@
     It has not yet read the list of nodes, and the store does not respond; only
     the nodes that its settings name can give it their state.
     """
-    found = order_sources("n1", "dc", {}, ("10.0.0.5:80",), STORE)
+    found = order_sources(
+        "n1", "10.0.0.1:80", "dc", {}, ("10.0.0.5:80",), STORE
+    )
     assert found == (
         Source(STORE, is_store=True),
         Source("10.0.0.5:80", is_store=False),
     )
+
+
+@pytest.mark.parametrize("lists_itself", [False, True])
+def test_node_among_the_seeds_does_not_read_from_itself(
+    lists_itself: bool,
+) -> None:
+    """Guards against a node that waits for changes at its own relay.
+
+    The settings of all nodes name the same seeds. In soak seed 3200003 a node
+    whose entry did not have the address of its seed followed itself for 2.5 s
+    and knew two of four nodes meanwhile. The list can also lack the node.
+    """
+    nodes = make_nodes(2)
+    seeds = tuple(node.address for node in nodes.values())
+    own_address = nodes["n0-0"].address
+    if lists_itself:
+        nodes["n0-0"] = Node("n0-0", "10.7.7.7:80", "dc0")
+    else:
+        del nodes["n0-0"]
+    found = order_sources("n0-0", own_address, "dc0", nodes, seeds, STORE)
+    assert own_address not in {item.address for item in found}
