--- a/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/platform/fleet/run.py
@@ -89,10 +89,14 @@
 
 @dataclass(frozen=True, slots=True)
 class QueryResult:
-    """Result of a query over all shards, and when it was sent in seconds."""
+    """Result of a query over all shards, and when it was sent in seconds.
+
+    :param node: name of the node that the caller asked
+    """
 
     sent_at: float
     result: CallResult
+    node: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,33 +223,37 @@
             due = started_at + number / self._load.per_s
             await asyncio.sleep(max(0.0, due - loop.time()))
             self._max_lag_s = max(self._max_lag_s, loop.time() - due)
-            port = self._choose_port(number)
+            node = self._choose_node(number)
             if number % QUERIES_PER_SUBMISSION == 0:
-                self._spawn(self._send_submission(session, port))
-            self._spawn(self._send_query(session, port, loop.time()))
+                self._spawn(self._send_submission(session, node))
+            self._spawn(self._send_query(session, node, loop.time()))
 
-    def _choose_port(self, number: int) -> int:
-        """Return the port of a running node, as a load balancer would."""
+    def _choose_node(self, number: int) -> FleetNode:
+        """Return a running node, as a load balancer would."""
         nodes = [
             node
             for node in self.site.nodes
             if node.name not in self._unavailable_nodes
         ]
         nodes = nodes or list(self.site.nodes)
-        return nodes[number % len(nodes)].front_port
+        return nodes[number % len(nodes)]
 
     async def _send_query(
-        self, session: aiohttp.ClientSession, port: int, sent_at: float
+        self, session: aiohttp.ClientSession, node: FleetNode, sent_at: float
     ) -> None:
         shards = self.site.shard_names
-        result = await send_request(session, port, "/notes/1", shards)
-        self._queries.append(QueryResult(sent_at, result))
+        result = await send_request(
+            session, node.front_port, "/notes/1", shards
+        )
+        self._queries.append(QueryResult(sent_at, result, node.name))
 
     async def _send_submission(
-        self, session: aiohttp.ClientSession, port: int
+        self, session: aiohttp.ClientSession, node: FleetNode
     ) -> None:
         self._submissions.append(
-            await send_request(session, port, "/submit/1", (), "POST")
+            await send_request(
+                session, node.front_port, "/submit/1", (), "POST"
+            )
         )
 
     def _spawn(self, coro: object) -> None:
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/checks.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/checks.py
@@ -203,6 +203,7 @@
             violations.append(
                 f"{limit.searcher} got {peak} requests in {WINDOW_S} s"
                 f" with a limit of {limit.limit_per_s}"
+                f" ({allowed_count(limit.limit_per_s):.1f} allowed)"
             )
     return violations
 
--- a/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
+++ b/packages/kumquatchute-standins/src/kumquatchute_standins/soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 from pathlib import Path
+import time
 
 from kumquatchute_standins.platform.fleet.disturbances import Step
 from kumquatchute_standins.platform.fleet.run import Load
@@ -13,6 +14,7 @@
 from kumquatchute_standins.soak.plan import draw_plan
 from kumquatchute_standins.soak.plan import FIRST_SEED_WITH_ANSWERS
 from kumquatchute_standins.soak.plan import RUN_LENGTH_S
+from kumquatchute_standins.soak.trace import write_trace
 
 SHAPE = Shape(
     nodes=("a", "a", "b"),
@@ -147,4 +149,5 @@
         links -= len(site.nodes)
     steps = draw_plan(seed, len(site.nodes), len(site.searchers), links, "ab")
     record = asyncio.run(run.run_steps(steps))
+    write_trace(record, folder, time.time() - time.monotonic())
     return check_guarantees(seed, steps, record, site.shard_names)
