Count earlier sends towards the burst of a stated limit

What callers saw: nothing; searchers that state a limit can get more than the users allow.

Cause: a node learns a limit only from a response to itself. A node that learns it began with a full burst on top of what it had sent until then, within the same 4 s. A response without the limit, such as a refusal, also ended the limit, so that the next one began with another full burst.

Fix: a node counts its sends to each searcher, and those of the last 4 s are taken off the burst when the limit becomes known. The log line states the tokens, these sends and the number of known nodes.

Evidence: the new test fails with a full burst (former rule) and passes.

--- a/packages/kumquatchuted/src/kumquatchuted/limits/stated.py
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/stated.py
@@ -44,6 +44,20 @@
     initial_tokens: float
 
 
+@dataclass(frozen=True, slots=True)
+class SendCount:
+    """Sends to one searcher, counted in consecutive windows of ``WINDOW_S``.
+
+    :param started_at: start of the current window, in monotonic seconds
+    :param current: sends in the current window
+    :param previous: sends in the window before it
+    """
+
+    started_at: float
+    current: int = 0
+    previous: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class StatedLimit:
     """A limit that a searcher states, and this node's tokens.
@@ -116,14 +130,46 @@
     return Allocation(group_rate / sender_count, burst, burst)
 
 
+def count_send(count: SendCount, now: float) -> SendCount:
+    """Return the count with one more send.
+
+    :param now: monotonic time in seconds
+    """
+    count = _advance(count, now)
+    return replace(count, current=count.current + 1)
+
+
+def recent_sends(count: SendCount, now: float) -> float:
+    """Estimate the sends within the last ``WINDOW_S``.
+
+    :param now: monotonic time in seconds
+    """
+    count = _advance(count, now)
+    overlap = 1.0 - (now - count.started_at) / WINDOW_S
+    return count.current + overlap * count.previous
+
+
+def _advance(count: SendCount, now: float) -> SendCount:
+    windows = math.floor((now - count.started_at) / WINDOW_S)
+    if windows <= 0:
+        return count
+    previous = count.current if windows == 1 else 0
+    return SendCount(count.started_at + windows * WINDOW_S, 0, previous)
+
+
 def start_limit(
-    limit_per_s: float, allocation: Allocation, now: float
+    limit_per_s: float, allocation: Allocation, recent: float, now: float
 ) -> StatedLimit:
     """Return the state when a limit becomes known.
 
+    What this node has just sent counts towards its burst, since the searcher
+    gets both within the same window.
+
+    :param recent: sends of this node within the last ``WINDOW_S``
     :param now: monotonic time in seconds
     """
-    return StatedLimit(limit_per_s, allocation, allocation.initial_tokens, now)
+    tokens = max(0.0, allocation.initial_tokens - recent)
+    return StatedLimit(limit_per_s, allocation, tokens, now)
 
 
 def change_limit(
--- a/packages/kumquatchuted/src/kumquatchuted/limits/tests/test_stated_limits.py
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/tests/test_stated_limits.py
@@ -6,8 +6,11 @@
 from kumquatchuted.limits.stated import ALLOWED_FACTOR
 from kumquatchuted.limits.stated import ALLOWED_SLACK
 from kumquatchuted.limits.stated import change_limit
+from kumquatchuted.limits.stated import count_send
 from kumquatchuted.limits.stated import may_send
+from kumquatchuted.limits.stated import recent_sends
 from kumquatchuted.limits.stated import record_send
+from kumquatchuted.limits.stated import SendCount
 from kumquatchuted.limits.stated import start_limit
 from kumquatchuted.limits.stated import WINDOW_S
 
@@ -28,7 +31,10 @@
     """Return when nodes send that use each token at once."""
     limits = {
         node: start_limit(
-            limit_per_s, allocate(node, node_dcs, "i", "a", limit_per_s), 0.0
+            limit_per_s,
+            allocate(node, node_dcs, "i", "a", limit_per_s),
+            0.0,
+            0.0,
         )
         for node in node_dcs
     }
@@ -87,7 +93,7 @@
     node_dcs = place_nodes(1, 25)
     for node in node_dcs:
         allocation = allocate(node, node_dcs, "i", "a", 0.5)
-        limit = start_limit(0.5, allocation, 0.0)
+        limit = start_limit(0.5, allocation, 0.0, 0.0)
         assert may_send(limit, 200.0)
 
 
@@ -96,5 +102,17 @@
     node_dcs = place_nodes(1, 0)
     former = allocate("n0", node_dcs, "i", "a", 100.0)
     allocation = allocate("n0", node_dcs, "i", "a", 1.0)
-    limit = change_limit(start_limit(100.0, former, 0.0), 1.0, allocation, 1.0)
+    limit = change_limit(
+        start_limit(100.0, former, 0.0, 0.0), 1.0, allocation, 1.0
+    )
     assert limit.tokens == allocation.burst
+
+
+def test_sends_of_the_last_window_are_counted() -> None:
+    """Guards against sends that are forgotten, or counted for too long."""
+    count = SendCount(0.0)
+    for step in range(40):
+        count = count_send(count, 0.1 * step)
+    assert recent_sends(count, 3.95) == 40
+    assert recent_sends(count, 6.0) == pytest.approx(20)
+    assert recent_sends(count, 8.1) == 0
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/stated_limits.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/stated_limits.py
@@ -7,8 +7,11 @@
 from kumquatchuted.limits.stated import allocate
 from kumquatchuted.limits.stated import Allocation
 from kumquatchuted.limits.stated import change_limit
+from kumquatchuted.limits.stated import count_send
 from kumquatchuted.limits.stated import may_send
+from kumquatchuted.limits.stated import recent_sends
 from kumquatchuted.limits.stated import record_send
+from kumquatchuted.limits.stated import SendCount
 from kumquatchuted.limits.stated import start_limit
 from kumquatchuted.limits.stated import StatedLimit
 from kumquatchuted.membership.messages import RegisteredSearcher
@@ -28,6 +31,7 @@
         self._node_dcs: Mapping[str, str] = {}
         self._searchers: Mapping[str, RegisteredSearcher] = {}
         self._limits: dict[str, StatedLimit] = {}
+        self._send_counts: dict[str, SendCount] = {}
 
     def set_members(
         self,
@@ -41,6 +45,11 @@
         :param now: monotonic time in seconds
         """
         self._searchers = searchers
+        self._send_counts = {
+            name: count
+            for name, count in self._send_counts.items()
+            if name in searchers
+        }
         has_new_nodes = node_dcs != self._node_dcs
         self._node_dcs = node_dcs
         for name, limit in list(self._limits.items()):
@@ -61,7 +70,7 @@
         limit = self._limits.get(name)
         if limit_per_s is None:
             if limit is not None:
-                self.discard(name)
+                del self._limits[name]
                 log.info("limit ended searcher={}", name)
         elif limit is None:
             if name in self._searchers:
@@ -78,7 +87,12 @@
         return limit is None or may_send(limit, now)
 
     def record_send(self, name: str, now: float) -> None:
-        """Take a token if the searcher has stated a limit."""
+        """Count a send and take a token if the searcher states a limit.
+
+        :param now: monotonic time in seconds
+        """
+        count = self._send_counts.get(name, SendCount(now))
+        self._send_counts[name] = count_send(count, now)
         limit = self._limits.get(name)
         if limit is not None:
             self._limits[name] = record_send(limit, now)
@@ -86,18 +100,22 @@
     def discard(self, name: str) -> None:
         """Forget the limit of a searcher whose process has ended."""
         self._limits.pop(name, None)
+        self._send_counts.pop(name, None)
 
     def _start(self, name: str, limit_per_s: float, now: float) -> None:
         allocation = self._allocate(name, limit_per_s)
-        self._limits[name] = start_limit(limit_per_s, allocation, now)
-        _log_limit(name, limit_per_s, allocation)
+        count = self._send_counts.get(name, SendCount(now))
+        recent = recent_sends(count, now)
+        self._limits[name] = start_limit(limit_per_s, allocation, recent, now)
+        self._log_limit(name, self._limits[name], recent)
 
     def _change(
         self, name: str, limit: StatedLimit, limit_per_s: float, now: float
     ) -> None:
         allocation = self._allocate(name, limit_per_s)
+        count = self._send_counts.get(name, SendCount(now))
         self._limits[name] = change_limit(limit, limit_per_s, allocation, now)
-        _log_limit(name, limit_per_s, allocation)
+        self._log_limit(name, self._limits[name], recent_sends(count, now))
 
     def _allocate(self, name: str, limit_per_s: float) -> Allocation:
         return allocate(
@@ -108,13 +126,15 @@
             limit_per_s,
         )
 
-
-def _log_limit(name: str, limit_per_s: float, allocation: Allocation) -> None:
-    log.info(
-        "limit stated searcher={} limit_per_s={} own_rate_per_s={:.2f}"
-        " own_burst={:.1f}",
-        name,
-        limit_per_s,
-        allocation.rate_per_s,
-        allocation.burst,
-    )
+    def _log_limit(self, name: str, limit: StatedLimit, recent: float) -> None:
+        log.info(
+            "limit stated searcher={} limit_per_s={} own_rate_per_s={:.2f}"
+            " own_burst={:.1f} own_tokens={:.1f} recent_sends={:.0f} nodes={}",
+            name,
+            limit.limit_per_s,
+            limit.allocation.rate_per_s,
+            limit.allocation.burst,
+            limit.tokens,
+            recent,
+            len(self._node_dcs),
+        )
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_stated_limits.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_stated_limits.py
@@ -24,6 +24,19 @@
     assert count_sends(balancer, "i-1", 2.0) == 50
 
 
+def test_sends_before_the_limit_was_known_count_towards_the_burst() -> None:
+    """Guards against a full burst on top of what was sent without a limit.
+
+    A node learns a limit only from a response to itself, maybe long after the
+    others. The searcher gets what it sent until then and its burst within the
+    same 4 s.
+    """
+    balancer = balancer_of(2, nodes=1)
+    assert count_sends(balancer, "i-1", 0.0) == 50
+    balancer.on_limit_stated("i-1", 5.0, 1.0)
+    assert count_sends(balancer, "i-1", 1.0) <= 5
+
+
 def test_limit_of_this_node_does_not_keep_it_from_delegating() -> None:
     """Guards against shards that are left out though other nodes may send.
 
