Probe a searcher that states a limit of zero

What callers saw: nothing yet; found by reading the code of the stated limits.

Cause: a node with a part of a limit gets a burst and a rate. With a limit of zero the rate is zero, so that after the burst the node sends nothing more to this searcher. Only a response shows that a limit has ended or has changed, so that the searcher was lost for this node until its process ended or the list of nodes changed.

Fix: the rate of a node with a part is at least the rate of a probe, as for nodes without a part.

Evidence: the new test fails on the former code for one, four and four nodes and passes.

--- a/packages/kumquatchuted/src/kumquatchuted/limits/stated.py
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/stated.py
@@ -23,9 +23,10 @@
 # Part of a limit for the nodes in the data centre of the searcher, which send
 # most of its requests; the other nodes have the rest.
 LOCAL_SHARE = 0.8
-# Nodes without a part of the limit send a request now and then, because only
-# responses show that a limit has ended. This is the rate of those of a group
-# in total, and the highest rate of one of them.
+# Nodes without a part of the limit, or with a limit close to zero, send a
+# request now and then, because only responses show that a limit has ended or
+# changed. This is the rate of those of a group in total, and the highest rate
+# of one of them.
 PROBES_PER_S = 0.2
 MAX_PROBE_RATE_PER_S = 0.1
 
@@ -35,7 +36,7 @@
     """Token bucket of one node for one searcher.
 
     :param rate_per_s: tokens added per second
-    :param burst: maximum number of tokens
+    :param burst: maximum number of tokens to which they are added
     :param initial_tokens: tokens when the limit becomes known
     """
 
@@ -127,7 +128,12 @@
         return Allocation(probe_rate, 1.0, others.index(node) / len(others))
     group_rate = min(rate_per_s, (sends - sender_count) / WINDOW_S)
     burst = (sends - group_rate * WINDOW_S) / sender_count
-    return Allocation(group_rate / sender_count, burst, burst)
+    rate = group_rate / sender_count
+    probe_rate = min(MAX_PROBE_RATE_PER_S, PROBES_PER_S / len(group))
+    if rate < probe_rate:
+        # Probes are not saved up to a burst that all nodes send at once.
+        return Allocation(probe_rate, 1.0, burst)
+    return Allocation(rate, burst, burst)
 
 
 def count_send(count: SendCount, now: float) -> SendCount:
@@ -208,7 +214,7 @@
 def _tokens(limit: StatedLimit, now: float) -> float:
     allocation = limit.allocation
     added = max(0.0, now - limit.updated_at) * allocation.rate_per_s
-    return min(allocation.burst, limit.tokens + added)
+    return max(limit.tokens, min(allocation.burst, limit.tokens + added))
 
 
 def _rank(searcher: str, node: str) -> int:
--- a/packages/kumquatchuted/src/kumquatchuted/limits/tests/test_stated_limits.py
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/tests/test_stated_limits.py
@@ -97,6 +97,24 @@
         assert may_send(limit, 200.0)
 
 
+@pytest.mark.parametrize(("local", "remote"), [(1, 0), (1, 3), (2, 2)])
+def test_each_node_learns_that_a_limit_of_zero_has_ended(
+    local: int, remote: int
+) -> None:
+    """Guards against a searcher that gets nothing after a limit of zero.
+
+    A node with a part of the limit has a burst, but a rate of zero. Without
+    probes it would learn neither the end of the limit nor a larger one.
+    """
+    node_dcs = place_nodes(local, remote)
+    for node in node_dcs:
+        allocation = allocate(node, node_dcs, "i", "a", 0.0)
+        limit = start_limit(0.0, allocation, 0.0, 0.0)
+        while may_send(limit, 0.0):
+            limit = record_send(limit, 0.0)
+        assert may_send(limit, 200.0)
+
+
 def test_smaller_limit_applies_to_saved_tokens() -> None:
     """Guards against a burst that was saved under a former limit."""
     node_dcs = place_nodes(1, 0)
@@ -116,3 +134,36 @@
     assert recent_sends(count, 3.95) == 40
     assert recent_sends(count, 6.0) == pytest.approx(20)
     assert recent_sends(count, 8.1) == 0
+
+
+@pytest.mark.parametrize("limit_per_s", [0.0, 0.1])
+@pytest.mark.parametrize(("local", "remote"), [(1, 3), (2, 2), (4, 0)])
+def test_tokens_saved_while_idle_stay_within_what_is_allowed(
+    local: int, remote: int, limit_per_s: float
+) -> None:
+    """Guards against nodes that all use saved tokens and probes at once.
+
+    No requests come for a minute after the limit was stated.
+    """
+    node_dcs = place_nodes(local, remote)
+    limits = {
+        node: start_limit(
+            limit_per_s,
+            allocate(node, node_dcs, "i", "a", limit_per_s),
+            0.0,
+            0.0,
+        )
+        for node in node_dcs
+    }
+    sent_at = []
+    for step in range(240):
+        now = step * STEP_S + (60.0 if step > 80 else 0.0)
+        for node in node_dcs:
+            while may_send(limits[node], now):
+                limits[node] = record_send(limits[node], now)
+                sent_at.append(now)
+    peak = max(
+        sum(start <= at < start + WINDOW_S for at in sent_at)
+        for start in sent_at
+    )
+    assert peak <= ALLOWED_FACTOR * limit_per_s * WINDOW_S + ALLOWED_SLACK
