Send no retry beside the response to a hedge

The failure of an attempt and the response to its hedge can be among the messages that a request handles together, now that it takes all of them. A retry was sent nevertheless, which used up the retry budget. It is sent after all messages were applied, if there is no response; queries do the same. test_no_retry_is_sent_beside_a_response failed before with a third attempt.

The turns of the event loop for a paused process stand in timeouts.py, and limit_deadline is now earliest_deadline, because two other functions had nearly its name.

--- a/packages/kumquatchuted/src/kumquatchuted/forward/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/task.py
@@ -9,11 +9,10 @@
 from kumquatchuted.forward.decide import conclude
 from kumquatchuted.forward.decide import conclude_timeout
 from kumquatchuted.forward.decide import ForwardResult
-from kumquatchuted.mailbox import await_delivery
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.mailbox import Post
 from kumquatchuted.retries.messages import DeadlineMoved
-from kumquatchuted.retries.messages import limit_deadline
+from kumquatchuted.retries.messages import earliest_deadline
 from kumquatchuted.retries import progress as retry_progress
 from kumquatchuted.routing.messages import Route
 from kumquatchuted.searchers.messages import AbandonAttempt
@@ -24,6 +23,7 @@
 from kumquatchuted.searchers.messages import ResponsesUsed
 from kumquatchuted.searchers.messages import SendAttempt
 from kumquatchuted.searchers.messages import WithdrawAttempt
+from kumquatchuted.timeouts import await_delivery
 
 # A searcher stops by itself at the deadline that it was sent. The connection
 # is closed this long after it, so that the request is not interrupted earlier.
@@ -106,8 +106,14 @@
     async def _run(self) -> ForwardResult:
         self._send_attempt(is_retry=False)
         while True:
-            for message in await self._next_messages():
-                self._handle(message)
+            retries = [
+                retry
+                for message in await self._next_messages()
+                if (retry := self._handle(message)) is not None
+            ]
+            if self._progress.response is None:
+                for retry in retries:
+                    self._post_attempt(retry.needs_budget)
             now = self._clock()
             if now >= self._deadline and not self._progress.is_settled():
                 return await self._end_at_deadline()
@@ -116,15 +122,26 @@
             if self._progress.is_settled():
                 return conclude(self._progress, self._policy.at_most_once)
 
-    def _handle(self, message: object) -> None:
+    def _handle(self, message: object) -> retry_progress.Retry | None:
+        """Apply a message, and return the retry that it causes.
+
+        The response to a hedge can be among the next messages, so that the
+        retry is not sent at once.
+        """
         match message:
             case AttemptAssigned():
                 self._assign(message, self._clock())
             case AttemptDone(key=key, result=result):
                 self._end_attempt(key)
-                self._apply_result(result)
+                self._progress, retry = retry_progress.apply_result(
+                    self._progress, result, self._policy
+                )
+                if retry is not None:
+                    self._progress = retry_progress.add_attempt(self._progress)
+                return retry
             case DeadlineMoved(deadline=deadline):
                 self._deadline = min(self._deadline, deadline)
+        return None
 
     async def _end_at_deadline(self) -> ForwardResult:
         """Withdraw the attempts and return the result.
@@ -163,13 +180,6 @@
             self._progress, message.searcher, now + message.hedge_delay_s
         )
 
-    def _apply_result(self, result: object) -> None:
-        self._progress, retry = retry_progress.apply_result(
-            self._progress, result, self._policy
-        )
-        if retry is not None:
-            self._send_attempt(retry.needs_budget)
-
     async def _next_messages(self) -> list[object]:
         """Wait for messages and return all that there are.
 
@@ -183,7 +193,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(max(0.0, wake_at - self._clock())):
                     messages = [await self.mailbox.get()]
-        wake_at = limit_deadline(wake_at, messages)
+        wake_at = earliest_deadline(wake_at, messages)
         if not messages or self._clock() >= wake_at:
             await await_delivery()
             messages += self.mailbox.take_all()
@@ -198,10 +208,13 @@
         return self._deadline
 
     def _send_attempt(self, is_retry: bool) -> None:
+        self._progress = retry_progress.add_attempt(self._progress)
+        self._post_attempt(is_retry)
+
+    def _post_attempt(self, is_retry: bool) -> None:
         self.attempt_count += 1
         key = ForwardKey(self._request_number, self.attempt_count)
         self._pending.add(key)
-        self._progress = retry_progress.add_attempt(self._progress)
         self._post(
             SendAttempt(
                 key=key,
--- a/packages/kumquatchuted/src/kumquatchuted/gather/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -25,14 +25,13 @@
 from kumquatchuted.gather.messages import ShardsDelegated
 from kumquatchuted.gather.messages import Started
 from kumquatchuted.gather.messages import TimerFired
-from kumquatchuted.mailbox import await_delivery
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.mailbox import Post
 from kumquatchuted.partials.messages import AbandonPartialQuery
 from kumquatchuted.partials.messages import PartialQueryAssigned
 from kumquatchuted.partials.messages import PartialQueryDone
 from kumquatchuted.retries.messages import DeadlineMoved
-from kumquatchuted.retries.messages import limit_deadline
+from kumquatchuted.retries.messages import earliest_deadline
 from kumquatchuted.retries.progress import RetryPolicy
 from kumquatchuted.routing.messages import AllShards
 from kumquatchuted.routing.messages import Route
@@ -44,6 +43,7 @@
 from kumquatchuted.searchers.messages import SendAttempt
 from kumquatchuted.searchers.messages import SendShards
 from kumquatchuted.searchers.messages import ShardsNotSent
+from kumquatchuted.timeouts import await_delivery
 
 log = Logger("gather")
 
@@ -175,7 +175,7 @@
                     messages.append(await self.mailbox.get())
             except TimeoutError:
                 has_timer_fired = True
-        soft_deadline = limit_deadline(
+        soft_deadline = earliest_deadline(
             self._state.plan.soft_deadline, messages
         )
         if has_timer_fired or self._clock() >= soft_deadline:
--- a/packages/kumquatchuted/src/kumquatchuted/mailbox.py
+++ b/packages/kumquatchuted/src/kumquatchuted/mailbox.py
@@ -15,11 +15,6 @@
 
 Post = Callable[[Any], None]
 
-# Turns of the event loop in which a response gets from the socket through the
-# task of searchers to the mailbox of its request. A large one is read in
-# several turns.
-DELIVERY_TURNS = 4
-
 
 @dataclass(frozen=True)
 class Ask(Generic[Request]):
@@ -64,15 +59,6 @@
         return [self._queue.get_nowait() for _ in range(self._queue.qsize())]
 
 
-async def await_delivery() -> None:
-    """Let the responses that have arrived at sockets reach the mailboxes.
-
-    It takes turns of the event loop, but waits for nothing.
-    """
-    for _ in range(DELIVERY_TURNS):
-        await asyncio.sleep(0)
-
-
 async def handle_messages(
     mailbox: Mailbox,
     handle: Callable[[Any], None],
--- a/packages/kumquatchuted/src/kumquatchuted/retries/messages.py
+++ b/packages/kumquatchuted/src/kumquatchuted/retries/messages.py
@@ -15,7 +15,7 @@
     deadline: float
 
 
-def limit_deadline(deadline: float, messages: Iterable[object]) -> float:
+def earliest_deadline(deadline: float, messages: Iterable[object]) -> float:
     """Return the deadline after the messages that move it.
 
     :param deadline: monotonic time in seconds
--- a/packages/kumquatchuted/src/kumquatchuted/timeouts.py
+++ b/packages/kumquatchuted/src/kumquatchuted/timeouts.py
@@ -5,6 +5,9 @@
 # Turns of the event loop after a timeout. A connect that the kernel completed
 # takes four until the connection is open.
 GRACE_TURNS = 10
+# Turns in which responses get from the sockets to the mailbox of a request.
+# Those of 100 KB need no more, and the answer leaves that much later.
+DELIVERY_TURNS = 4
 
 
 async def wait_until_done(fut: asyncio.Future, timeout_s: float) -> bool:
@@ -27,3 +30,12 @@
             break
         await asyncio.sleep(0)
     return fut.done()
+
+
+async def await_delivery() -> None:
+    """Let the responses that have arrived at sockets reach the mailboxes.
+
+    It takes turns of the event loop, but waits for nothing.
+    """
+    for _ in range(DELIVERY_TURNS):
+        await asyncio.sleep(0)
