Emulate the repeated read of a paused node

The nodes of the emulated fleet call sources as Transport does, which repeats a read whose response came during a suspension.

--- a/packages/kumquatchuted/src/kumquatchuted/membership/tests/emulated_fleet.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/emulated_fleet.py
@@ -127,7 +127,17 @@
             self.resumed = asyncio.Event()
 
     async def call(self, req: Request) -> Response | NoResponse:
-        """Call the store or another node, as ``Transport`` does."""
+        """Call the store or another node, as ``Transport`` does.
+
+        A read whose response came during a suspension is repeated once.
+        """
+        result = await self._call_once(req)
+        if result is None:
+            result = await self._call_once(req)
+        return result or NoResponse("no answer in time")
+
+    async def _call_once(self, req: Request) -> Response | NoResponse | None:
+        """Return the result, None if it came after the timeout."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         try:
@@ -137,7 +147,7 @@
             result = NoResponse("no answer in time")
         await self.wait_until_running()
         if loop.time() - started_at > req.timeout_s:
-            return NoResponse("no answer in time")
+            return None if isinstance(result, Response) else result
         return result
 
     async def wait_until_running(self) -> None:
