Count headers before all of a read is parsed

The parser calls back for each header, and the number of headers was checked only after all 256 KiB of a read.

--- a/packages/kumquatchuted/src/kumquatchuted/searchers/response_reader.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/response_reader.py
@@ -247,7 +247,7 @@
                 part = data[start : start + MAX_PARSED_BYTES]
                 self._received_bytes += len(part)
                 self._parser.feed_data(part)
-                if self._is_slow():
+                if self._is_slow() or self._has_too_many_headers():
                     break
         except PARSER_ERRORS as exc:
             self._is_last = True
@@ -401,11 +401,14 @@
         overhead_bytes = self._received_bytes - body_bytes
         return (
             self._received_bytes > self._max_received_bytes
-            or len(self._headers) > MAX_HEADERS
+            or self._has_too_many_headers()
             or overhead_bytes
             > MAX_OVERHEAD_BYTES + body_bytes * MAX_OVERHEAD_PER_BODY_BYTE
         )
 
+    def _has_too_many_headers(self) -> bool:
+        return len(self._headers) > MAX_HEADERS and self._complete is None
+
     def _is_slow(self) -> bool:
         """Return whether the framing takes much of the processor time."""
         if self._complete is not None or self._exchange is None:
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_connection.py
@@ -757,6 +757,25 @@
     assert not posted
 
 
+def test_endless_headers_are_not_all_parsed() -> None:
+    """Guards against a searcher that takes all the processor time of a node.
+
+    The parser calls back for each header of the 256 KiB that the event loop
+    reads at once, and each takes memory.
+    """
+    connection, posted, _ = awaiting_response()
+    connection.data_received(b"HTTP/1.1 200 OK\r\n")
+    headers = b"a: \r\n" * 40_000
+    tracemalloc.start()
+    try:
+        connection.data_received(headers)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert [type(event) for event in posted] == [ConnectionClosed]
+    assert peak_bytes < 1_000_000
+
+
 def test_failed_slow_response_keeps_no_bytes() -> None:
     """Guards against memory that a response which was given up still takes."""
     kept = []
