--- a/packages/kumquatchuted/src/kumquatchuted/forward/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/task.py
@@ -183,7 +183,7 @@
     async def _next_messages(self) -> list[object]:
         """Wait for messages and return all that there are.
 
-        None are returned if the time of a hedge or the deadline has come.
+        There can be none if the time of a hedge or the deadline has come.
         After a pause of the node, a response that has arrived is awaited
         before a hedge or the end of the request is decided on.
         """
--- a/packages/kumquatchuted/src/kumquatchuted/forward/tests/test_paused_request.py
+++ b/packages/kumquatchuted/src/kumquatchuted/forward/tests/test_paused_request.py
@@ -1,6 +1,5 @@
 """Requests to one searcher on a node that does not run for a while."""
 
-import asyncio
 from collections import Counter
 import random
 
@@ -8,18 +7,17 @@
 
 from kumquatchuted.forward.decide import ForwardResult
 from kumquatchuted.forward.task import ForwardTask
-from kumquatchuted.gateway.tests.example_settings import EXAMPLE_SETTINGS
 from kumquatchuted.retries.messages import DeadlineMoved
 from kumquatchuted.routing.messages import OneService
 from kumquatchuted.routing.messages import Route
 from kumquatchuted.searchers.messages import OutgoingRequest
-from kumquatchuted.searchers.task import SearchersTask
 from kumquatchuted.searchers.tests.virtual_network import build_members
 from kumquatchuted.searchers.tests.virtual_network import encode_response
 from kumquatchuted.searchers.tests.virtual_network import NetworkLoop
 from kumquatchuted.searchers.tests.virtual_network import ReceivedRequest
 from kumquatchuted.searchers.tests.virtual_network import Reply
 from kumquatchuted.searchers.tests.virtual_network import run_on_network
+from kumquatchuted.searchers.tests.virtual_network import start_searchers
 
 SERVICE = "console"
 OBJECTIVE_S = 0.3
@@ -59,14 +57,9 @@
     counts: Counter[str] = Counter()
 
     async def main() -> tuple[ForwardResult, float]:
-        searchers = SearchersTask(
-            EXAMPLE_SETTINGS,
-            loop.time,
-            random.Random(1),
-            lambda event, label: counts.update((event,)),
+        searchers, running = start_searchers(
+            loop, build_members((SERVICE,), 3), counts
         )
-        searchers.mailbox.post(build_members((SERVICE,), 3))
-        running = asyncio.ensure_future(searchers.run())
         route = Route(
             "r",
             "h",
--- a/packages/kumquatchuted/src/kumquatchuted/gather/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/task.py
@@ -11,8 +11,6 @@
 from kumquatchuted.gather.decide import decide_all
 from kumquatchuted.gather.decide import initial_state
 from kumquatchuted.gather.decide import next_wake_at
-from kumquatchuted.gather.decide import partial_deadline
-from kumquatchuted.gather.decide import QueryPlan
 from kumquatchuted.gather.messages import Action
 from kumquatchuted.gather.messages import DelegationDone
 from kumquatchuted.gather.messages import Event
@@ -25,6 +23,8 @@
 from kumquatchuted.gather.messages import ShardsDelegated
 from kumquatchuted.gather.messages import Started
 from kumquatchuted.gather.messages import TimerFired
+from kumquatchuted.gather.plan import partial_deadline
+from kumquatchuted.gather.plan import QueryPlan
 from kumquatchuted.mailbox import Mailbox
 from kumquatchuted.mailbox import Post
 from kumquatchuted.partials.messages import AbandonPartialQuery
--- a/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_gather_decide.py
@@ -12,6 +12,9 @@
 from kumquatchuted.gather.messages import ShardsDelegated
 from kumquatchuted.gather.messages import Started
 from kumquatchuted.gather.messages import TimerFired
+from kumquatchuted.gather.plan import min_shards
+from kumquatchuted.gather.plan import partial_deadline
+from kumquatchuted.gather.plan import QueryPlan
 from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.retries.progress import RetryPolicy
 from kumquatchuted.searchers.messages import NoResponse
@@ -30,7 +33,7 @@
 
 def sent_query(min_coverage: float = 0.75) -> gather_decide.QueryState:
     """Return a query whose attempts were all sent at time 0."""
-    plan = gather_decide.QueryPlan(
+    plan = QueryPlan(
         SHARDS, RetryPolicy(2, False), SOFT_DEADLINE, DEADLINE, min_coverage
     )
     state, actions = gather_decide.decide(
@@ -142,7 +145,7 @@
     The number of usable shards is checked before the first attempt is sent, so
     the failure can truly state that nothing was run.
     """
-    plan = gather_decide.QueryPlan(
+    plan = QueryPlan(
         SHARDS, RetryPolicy(2, False), SOFT_DEADLINE, DEADLINE, 0.75
     )
     state, _ = gather_decide.decide(
@@ -174,7 +177,7 @@
 
     The attempts on the other shards were sent at time 0.
     """
-    plan = gather_decide.QueryPlan(
+    plan = QueryPlan(
         SHARDS, RetryPolicy(2, False), SOFT_DEADLINE, DEADLINE, 0.75
     )
     state, _ = gather_decide.decide(
@@ -318,9 +321,9 @@
     left other nodes no time, and their searchers returned 504 within 2 ms.
     """
     plan = sent_query().plan
-    assert gather_decide.partial_deadline(plan, 0.12, now=0.0) == SOFT_DEADLINE
-    assert gather_decide.partial_deadline(plan, 0.12, now=0.3) > 0.3 + 0.05
-    assert gather_decide.partial_deadline(plan, 0.12, now=0.79) <= DEADLINE
+    assert partial_deadline(plan, 0.12, now=0.0) == SOFT_DEADLINE
+    assert partial_deadline(plan, 0.12, now=0.3) > 0.3 + 0.05
+    assert partial_deadline(plan, 0.12, now=0.79) <= DEADLINE
 
 
 def test_min_shards_is_not_raised_by_rounding() -> None:
@@ -329,10 +332,8 @@
     The ratio is not exact in binary. If it compared as more than 17 / 20,
     queries with 17 responses would fail.
     """
-    plan = gather_decide.QueryPlan(
-        20, RetryPolicy(2, False), SOFT_DEADLINE, DEADLINE, 0.85
-    )
-    assert gather_decide.min_shards(plan) == 17
+    plan = QueryPlan(20, RetryPolicy(2, False), SOFT_DEADLINE, DEADLINE, 0.85)
+    assert min_shards(plan) == 17
 
 
 def test_responses_of_the_same_time_are_all_merged() -> None:
--- a/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_paused_node.py
+++ b/packages/kumquatchuted/src/kumquatchuted/gather/tests/test_paused_node.py
@@ -1,26 +1,24 @@
 """Queries on a node that does not run for a while."""
 
-import asyncio
 from collections import Counter
 import itertools
 import random
 
 import pytest
 
-from kumquatchuted.gateway.tests.example_settings import EXAMPLE_SETTINGS
 from kumquatchuted.gather.messages import Finish
 from kumquatchuted.gather.task import GatherTask
 from kumquatchuted.retries.messages import DeadlineMoved
 from kumquatchuted.routing.messages import AllShards
 from kumquatchuted.routing.messages import Route
 from kumquatchuted.searchers.messages import OutgoingRequest
-from kumquatchuted.searchers.task import SearchersTask
 from kumquatchuted.searchers.tests.virtual_network import build_members
 from kumquatchuted.searchers.tests.virtual_network import encode_response
 from kumquatchuted.searchers.tests.virtual_network import NetworkLoop
 from kumquatchuted.searchers.tests.virtual_network import ReceivedRequest
 from kumquatchuted.searchers.tests.virtual_network import Reply
 from kumquatchuted.searchers.tests.virtual_network import run_on_network
+from kumquatchuted.searchers.tests.virtual_network import start_searchers
 
 SHARDS = ("s0", "s1", "s2", "s3")
 OBJECTIVE_S = 0.3
@@ -73,14 +71,9 @@
         return loop.time()
 
     async def main() -> tuple[Finish, float]:
-        searchers = SearchersTask(
-            EXAMPLE_SETTINGS,
-            loop.time,
-            random.Random(1),
-            lambda event, label: counts.update((event,)),
+        searchers, running = start_searchers(
+            loop, build_members(SHARDS, 2), counts
         )
-        searchers.mailbox.post(build_members(SHARDS, 2))
-        running = asyncio.ensure_future(searchers.run())
         shards = AllShards(SHARDS, 5, 0.5)
         route = Route(
             "r", "h", "/", True, TIMEOUT_S, OBJECTIVE_S, 0, 2, shards
--- a/packages/kumquatchuted/src/kumquatchuted/limits/stated.py
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/stated.py
@@ -214,6 +214,7 @@
 def _tokens(limit: StatedLimit, now: float) -> float:
     allocation = limit.allocation
     added = max(0.0, now - limit.updated_at) * allocation.rate_per_s
+    # Initial tokens can exceed the burst, and are not lost.
     return max(limit.tokens, min(allocation.burst, limit.tokens + added))
 
 
--- a/packages/kumquatchuted/src/kumquatchuted/limits/tests/test_stated_limits.py
+++ b/packages/kumquatchuted/src/kumquatchuted/limits/tests/test_stated_limits.py
@@ -12,6 +12,7 @@
 from kumquatchuted.limits.stated import record_send
 from kumquatchuted.limits.stated import SendCount
 from kumquatchuted.limits.stated import start_limit
+from kumquatchuted.limits.stated import StatedLimit
 from kumquatchuted.limits.stated import WINDOW_S
 
 STEP_S = 0.05
@@ -27,9 +28,11 @@
     }
 
 
-def send_greedily(node_dcs: dict[str, str], limit_per_s: float) -> list[float]:
-    """Return when nodes send that use each token at once."""
-    limits = {
+def start_limits(
+    node_dcs: dict[str, str], limit_per_s: float
+) -> dict[str, StatedLimit]:
+    """Return the limit of each node when it becomes known to all at once."""
+    return {
         node: start_limit(
             limit_per_s,
             allocate(node, node_dcs, "i", "a", limit_per_s),
@@ -38,6 +41,11 @@
         )
         for node in node_dcs
     }
+
+
+def send_greedily(node_dcs: dict[str, str], limit_per_s: float) -> list[float]:
+    """Return when nodes send that use each token at once."""
+    limits = start_limits(node_dcs, limit_per_s)
     sent_at = []
     for step in range(int(DURATION_S / STEP_S)):
         now = step * STEP_S
@@ -146,15 +154,7 @@
     No requests come for a minute after the limit was stated.
     """
     node_dcs = place_nodes(local, remote)
-    limits = {
-        node: start_limit(
-            limit_per_s,
-            allocate(node, node_dcs, "i", "a", limit_per_s),
-            0.0,
-            0.0,
-        )
-        for node in node_dcs
-    }
+    limits = start_limits(node_dcs, limit_per_s)
     sent_at = []
     for step in range(240):
         now = step * STEP_S + (60.0 if step > 80 else 0.0)
--- a/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/follower.py
@@ -22,6 +22,8 @@
 from kumquatchuted.membership.object_reader import TopicDecoder
 from kumquatchuted.membership.sources import Source
 from kumquatchuted.membership.sources import SourceSilent
+from kumquatchuted.membership.state_age import plan_listing
+from kumquatchuted.membership.state_age import plan_watch
 from kumquatchuted.timeouts import wait_until_done
 
 # Delay before the next watch after changes, so that one call reads several
@@ -40,24 +42,6 @@
 SOURCE_AVOID_S = 1.5
 # After this time with another source, the preferred one is tried again.
 MAX_FALLBACK_S = 2.0
-# A shorter watch would end at once and be followed by another call.
-MIN_WATCH_S = 0.1
-# Time within which a change must apply on any site. It bounds the age of the
-# state, counted from when the store confirmed it and not from when a relay
-# sent it. The following ages and times leave room for one other relay and the
-# store.
-MAX_STATE_AGE_S = 3.0
-# A watch of a relay ends at this age. The relay has a newer confirmation then,
-# since its own watch of the store ends every 2 s.
-CHECK_AGE_S = 2.3
-# A relay that has not responded at this age is left.
-LEAVE_AGE_S = 2.65
-# At this age the listing of another relay is given up, and the store is next.
-GIVE_UP_AGE_S = 2.8
-# Shortest times for a relay's response to a watch that is due and to a
-# listing, also when the ages above are passed.
-MIN_RESPONSE_S = 0.15
-MIN_LISTING_S = 0.1
 
 OUTDATED = Failure(
     ErrorKind.UNAVAILABLE, "its state is older than what was read before"
@@ -248,13 +232,9 @@
                 call.cancel()
 
     async def _list_relay(self, source: Source) -> Listing | Failure:
-        """List a topic at another node, as long as the state may age.
-
-        A state that is already too old does not limit the call.
-        """
-        age_s = self.state_age_s()
-        limit_s = max(MIN_LISTING_S, GIVE_UP_AGE_S - age_s)
-        if age_s >= MAX_STATE_AGE_S:
+        """List a topic at another node, as long as the state may age."""
+        limit_s = plan_listing(self.state_age_s())
+        if limit_s is None:
             return await self._client.list_all(source, self._decoder)
         listing = asyncio.ensure_future(
             self._client.list_all(source, self._decoder)
@@ -382,12 +362,8 @@
         wait_s = self._wait_s
         limit_s = None
         if not source.is_store:
-            wait_s = (self._phase_s - self._clock()) % self._wait_s
-            if wait_s < MIN_WATCH_S:
-                wait_s += self._wait_s
-            age_s = self.state_age_s()
-            wait_s = min(wait_s, max(MIN_WATCH_S, CHECK_AGE_S - age_s))
-            limit_s = max(MIN_WATCH_S + MIN_RESPONSE_S, LEAVE_AGE_S - age_s)
+            due_s = (self._phase_s - self._clock()) % self._wait_s
+            wait_s, limit_s = plan_watch(due_s, wait_s, self.state_age_s())
         if is_fallback:
             wait_s = min(wait_s, MAX_FALLBACK_S)
         self._restart_requested.clear()
--- a/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
+++ b/packages/kumquatchuted/src/kumquatchuted/membership/tests/test_follower.py
@@ -22,6 +22,7 @@
 from kumquatchuted.membership.object_reader import Listing
 from kumquatchuted.membership.object_reader import TopicDecoder
 from kumquatchuted.membership.sources import Source
+from kumquatchuted.membership.state_age import MAX_STATE_AGE_S
 from kumquatchuted.targets.tests.virtual_loop import run_in_virtual_time
 
 DECODER = TopicDecoder("things", lambda name, item: name)
@@ -379,7 +380,7 @@
             await asyncio.sleep(0.01)
         task.cancel()
         assert store.listed_sources == [RELAY, OTHER_RELAY, STORE]
-        assert clock() - started_at < follower.MAX_STATE_AGE_S
+        assert clock() - started_at < MAX_STATE_AGE_S
 
     run_in_virtual_time(scenario())
 
--- a/packages/kumquatchuted/src/kumquatchuted/partials/tests/test_partial_copies.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/tests/test_partial_copies.py
@@ -2,50 +2,18 @@
 
 import asyncio
 import contextlib
-import random
-import time
 
-from kumquatchuted.gateway.tests.example_settings import EXAMPLE_SETTINGS
-from kumquatchuted.membership.messages import MembersChanged
-from kumquatchuted.membership.messages import Node
-from kumquatchuted.memory.byte_budget import ByteBudget
 from kumquatchuted.partials.codec import decode_partial_request
 from kumquatchuted.partials.codec import encode_partial
 from kumquatchuted.partials.messages import PartialQueryDone
 from kumquatchuted.partials.messages import PartialQueryResponse
-from kumquatchuted.partials.messages import SendPartialQuery
-from kumquatchuted.partials.task import PartialsTask
-from kumquatchuted.routing.messages import AllShards
-from kumquatchuted.routing.messages import Route
-from kumquatchuted.searchers.messages import OutgoingRequest
+from kumquatchuted.partials.tests.example_node import create_task
+from kumquatchuted.partials.tests.example_node import run_query
 
-SHARDS = AllShards(("s0",), 1, 1.0)
-ROUTE = Route("r", "h", "/", True, 1.0, 0.1, 0, 1, SHARDS)
 COPY_DELAY_S = 0.02
 NUMBER_FIELD = b"x-partial-query: "
 
 
-def build_query(number: int, replies: asyncio.Queue) -> SendPartialQuery:
-    """Return a partial query over one shard."""
-    now = time.monotonic()
-    request_id = b"r%d" % number
-    return SendPartialQuery(
-        key=number,
-        route=ROUTE,
-        data_centre="b",
-        shards=(0,),
-        services=SHARDS.shards,
-        top_k=1,
-        has_few_searchers=True,
-        outgoing=OutgoingRequest(request_id, b"GET", b"GET / HTTP/1.1", b""),
-        min_coverage=1.0,
-        deadline=now + 0.5,
-        latest_deadline=now + 0.5,
-        leaving=(),
-        reply_to=replies.put_nowait,
-    )
-
-
 def test_copy_of_a_partial_response_is_not_the_next_response() -> None:
     """Guards against digests and records of another query.
 
@@ -76,27 +44,11 @@
     async def main() -> list[PartialQueryDone]:
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
-        task = PartialsTask(
-            EXAMPLE_SETTINGS,
-            time.monotonic,
-            random.Random(1),
-            lambda *event: None,
-            lambda message: None,
-            ByteBudget(1_000_000),
-        )
-        node = Node("other", f"{host}:{port}", "b")
-        task.mailbox.post(
-            MembersChanged({}, {}, frozenset(), {node.name: node})
-        )
+        task = create_task(host, port)
         running = asyncio.ensure_future(task.run())
         results = []
         for number in range(3):
-            replies: asyncio.Queue = asyncio.Queue()
-            task.mailbox.post(build_query(number, replies))
-            done = await replies.get()
-            while not isinstance(done, PartialQueryDone):
-                done = await replies.get()
-            results.append(done)
+            results.append(await run_query(task, number))
             await asyncio.sleep(2 * COPY_DELAY_S)
         running.cancel()
         await task.close()
--- a/packages/kumquatchuted/src/kumquatchuted/partials/tests/test_paused_partials.py
+++ b/packages/kumquatchuted/src/kumquatchuted/partials/tests/test_paused_partials.py
@@ -4,28 +4,21 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
-import random
 import socket
 import threading
 import time
 
 import pytest
 
-from kumquatchuted.gateway.tests.example_settings import EXAMPLE_SETTINGS
-from kumquatchuted.membership.messages import MembersChanged
-from kumquatchuted.membership.messages import Node
-from kumquatchuted.memory.byte_budget import ByteBudget
 from kumquatchuted.partials.codec import encode_partial
 from kumquatchuted.partials.messages import PartialQueryDone
 from kumquatchuted.partials.messages import PartialQueryResponse
-from kumquatchuted.partials.messages import SendPartialQuery
 from kumquatchuted.partials.task import CONNECT_TIMEOUT_S
-from kumquatchuted.partials.task import PartialsTask
 from kumquatchuted.partials.task import RESPONSE_GRACE_S
-from kumquatchuted.partials.tests.test_partial_copies import build_query
+from kumquatchuted.partials.tests.example_node import create_task
+from kumquatchuted.partials.tests.example_node import DEADLINE_S
+from kumquatchuted.partials.tests.example_node import run_query
 
-# The deadline of the queries of ``build_query``.
-DEADLINE_S = 0.5
 # Time after which the other node responds; it is within the pause.
 RESPONSE_S = 0.05
 NUMBER_FIELD = b"x-partial-query: "
@@ -69,30 +62,10 @@
     host, port = listener.getsockname()
 
     async def main() -> list[PartialQueryDone]:
-        task = PartialsTask(
-            EXAMPLE_SETTINGS,
-            time.monotonic,
-            random.Random(1),
-            lambda *event: None,
-            lambda message: None,
-            ByteBudget(1_000_000),
-        )
-        node = Node("other", f"{host}:{port}", "b")
-        task.mailbox.post(
-            MembersChanged({}, {}, frozenset(), {node.name: node})
-        )
+        task = create_task(host, port)
         running = asyncio.ensure_future(task.run())
 
-        async def ask(number: int) -> PartialQueryDone:
-            replies: asyncio.Queue = asyncio.Queue()
-            query: SendPartialQuery = build_query(number, replies)
-            task.mailbox.post(query)
-            done = await replies.get()
-            while not isinstance(done, PartialQueryDone):
-                done = await replies.get()
-            return done
-
-        results = await scenario(ask)
+        results = await scenario(lambda number: run_query(task, number))
         running.cancel()
         await task.close()
         return results
--- a/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/searcher_codec.py
@@ -11,7 +11,7 @@
 from kumquatchuted.responses.messages import SearcherResponse
 from kumquatchuted.searchers.load import LoadReport
 from kumquatchuted.searchers.messages import OutgoingRequest
-from kumquatchuted.searchers.response_reader import RawResponse
+from kumquatchuted.searchers.read_results import RawResponse
 
 REQUEST_ID_HEADER = b"x-request-id"
 STAMP_HEADER = b"x-server-stamp"
--- a/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_callers.py
+++ b/packages/kumquatchuted/src/kumquatchuted/platform/tests/test_callers.py
@@ -9,7 +9,7 @@
 from kumquatchuted.platform.searcher_codec import decode_response
 from kumquatchuted.platform.searcher_codec import encode_attempt
 from kumquatchuted.responses.messages import SearcherResponse
-from kumquatchuted.searchers.response_reader import RawResponse
+from kumquatchuted.searchers.read_results import RawResponse
 
 HEADERS = [
     (b"host", b"a.example"),
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/connection.py
@@ -17,15 +17,15 @@
 from kumquatchuted.responses.messages import Foreign
 from kumquatchuted.responses.messages import Unproven
 from kumquatchuted.responses.messages import Verdict
-from kumquatchuted.searchers.response_reader import Broken
-from kumquatchuted.searchers.response_reader import Complete
+from kumquatchuted.searchers.read_results import Broken
+from kumquatchuted.searchers.read_results import Complete
+from kumquatchuted.searchers.read_results import INCOMPLETE
+from kumquatchuted.searchers.read_results import RawResponse
+from kumquatchuted.searchers.read_results import ReadResult
+from kumquatchuted.searchers.read_results import Slow
 from kumquatchuted.searchers.response_reader import HeadCodec
-from kumquatchuted.searchers.response_reader import INCOMPLETE
-from kumquatchuted.searchers.response_reader import MAX_RECEIVED_BYTES
-from kumquatchuted.searchers.response_reader import RawResponse
-from kumquatchuted.searchers.response_reader import ReadResult
 from kumquatchuted.searchers.response_reader import ResponseReader
-from kumquatchuted.searchers.response_reader import Slow
+from kumquatchuted.searchers.response_size import MAX_RECEIVED_BYTES
 
 # A copy of a response comes within seconds, so that only the last requests of
 # a connection need to be told apart.
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/pool.py
@@ -12,7 +12,7 @@
 from kumquatchuted.searchers.connection import Connection
 from kumquatchuted.searchers.read_turns import ReadTurns
 from kumquatchuted.searchers.response_reader import HeadCodec
-from kumquatchuted.searchers.response_reader import MAX_RECEIVED_BYTES
+from kumquatchuted.searchers.response_size import MAX_RECEIVED_BYTES
 
 log = Logger("searchers")
 
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/response_reader.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/response_reader.py
@@ -29,6 +29,15 @@
 from kumquatchuted.responses.messages import MatchedAsFirst
 from kumquatchuted.responses.messages import Unproven
 from kumquatchuted.responses.messages import Verdict
+from kumquatchuted.searchers.read_results import Broken
+from kumquatchuted.searchers.read_results import Complete
+from kumquatchuted.searchers.read_results import INCOMPLETE
+from kumquatchuted.searchers.read_results import RawResponse
+from kumquatchuted.searchers.read_results import ReadResult
+from kumquatchuted.searchers.read_results import Slow
+from kumquatchuted.searchers.response_size import is_framing_slow
+from kumquatchuted.searchers.response_size import is_overhead_too_long
+from kumquatchuted.searchers.response_size import MAX_HEADERS
 
 # The parser reports a change of protocol, which no request asks for, by an
 # exception of another class.
@@ -37,18 +46,6 @@
 BODILESS_STATUSES = (204, 304)
 INTERIM_STATUSES = range(100, 200)
 MIN_STATUS = 100
-# A faulty searcher may send bytes without end.
-MAX_RECEIVED_BYTES = 16 * 1024 * 1024
-# A header takes about 200 bytes besides its text.
-MAX_HEADERS = 256
-# Bytes of heads, trailers and framing: a fixed part, and for each byte of a
-# body more than the six of a chunk that holds a single byte.
-MAX_OVERHEAD_BYTES = 64 * 1024
-MAX_OVERHEAD_PER_BODY_BYTE = 8
-# Framing of a body, besides as many bytes as the body has, from which on a
-# response is read slowly. The parser calls back for each chunk, so that single
-# bytes without end, sent for 120 queries, kept a node busy for up to 20 s.
-SLOW_FRAMING_BYTES = 4 * 1024
 # Bytes that are parsed at once. The event loop reads up to 256 KiB.
 MAX_PARSED_BYTES = 8 * 1024
 # Causes of exchanges that end without a usable response.
@@ -57,15 +54,6 @@
 INVALID_STATUS = "the response has an invalid status"
 
 
-@dataclass(frozen=True, slots=True)
-class RawResponse:
-    """A complete response as received; header names in lower case."""
-
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class HeadCodec:
     """How the heads of responses are read.
@@ -81,50 +69,6 @@
     decode_notices: Callable[[int, list], tuple[Notice, ...]]
 
 
-@dataclass(frozen=True, slots=True)
-class Incomplete:
-    """The response has not arrived, or not all of it."""
-
-
-@dataclass(frozen=True, slots=True)
-class Slow:
-    """The response is not complete and takes much processor time to read.
-
-    :param rest: bytes that were not read yet
-    """
-
-    rest: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Complete:
-    """The response to the pending request has arrived.
-
-    :param verdict: what shows that it belongs to the request
-    :param is_last: whether no other request may be sent after it
-    """
-
-    response: RawResponse
-    verdict: Verdict
-    is_last: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Broken:
-    """No usable response can arrive any more.
-
-    :param reason: cause for the log and for the caller
-    :param rejected: why a response was not taken; None if there was none
-    """
-
-    reason: str
-    rejected: Unproven | None = None
-
-
-ReadResult = Incomplete | Slow | Complete | Broken
-INCOMPLETE = Incomplete()
-
-
 class ResponseReader:
     """Owns the parser and the response that is being read."""
 
@@ -397,28 +341,25 @@
 
     def _is_too_long(self) -> bool:
         """Return whether more has arrived for the request than is allowed."""
-        body_bytes = self._received_body_bytes
-        overhead_bytes = self._received_bytes - body_bytes
         return (
             self._received_bytes > self._max_received_bytes
             or self._has_too_many_headers()
-            or overhead_bytes
-            > MAX_OVERHEAD_BYTES + body_bytes * MAX_OVERHEAD_PER_BODY_BYTE
+            or is_overhead_too_long(
+                self._received_bytes, self._received_body_bytes
+            )
         )
 
     def _has_too_many_headers(self) -> bool:
         return len(self._headers) > MAX_HEADERS and self._complete is None
 
     def _is_slow(self) -> bool:
-        """Return whether the framing takes much of the processor time."""
+        """Return whether the rest of the response is to be read in turns."""
         if self._complete is not None or self._exchange is None:
             return False
-        if not self._is_header_complete:
-            return False
-        body_bytes = self._received_body_bytes
-        overhead_bytes = self._received_bytes - body_bytes
-        framing_bytes = overhead_bytes - self._received_head_bytes
-        return framing_bytes > SLOW_FRAMING_BYTES + body_bytes
+        return self._is_header_complete and is_framing_slow(
+            self._received_bytes - self._received_head_bytes,
+            self._received_body_bytes,
+        )
 
     def _ends_at_eof(self) -> bool:
         if not self._is_header_complete or self._status in INTERIM_STATUSES:
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/task.py
@@ -43,7 +43,7 @@
 from kumquatchuted.searchers.received import ReceivedBytes
 from kumquatchuted.searchers.response_log import ResponseLog
 from kumquatchuted.searchers.response_reader import HeadCodec
-from kumquatchuted.searchers.response_reader import MAX_RECEIVED_BYTES
+from kumquatchuted.searchers.response_size import MAX_RECEIVED_BYTES
 from kumquatchuted.searchers.shards import build_partial_query
 from kumquatchuted.searchers.shards import refuse_uncovered
 from kumquatchuted.searchers.waiting import WaitExpired
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_stated_limits.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/test_stated_limits.py
@@ -3,7 +3,7 @@
 import pytest
 
 from kumquatchuted.platform.searcher_codec import decode_limit
-from kumquatchuted.searchers.response_reader import RawResponse
+from kumquatchuted.searchers.read_results import RawResponse
 from kumquatchuted.searchers.tests.test_balancer import balancer_of
 from kumquatchuted.searchers.tests.test_balancer import count_sends
 from kumquatchuted.searchers.tests.test_balancer import ROUTE
--- a/packages/kumquatchuted/src/kumquatchuted/searchers/tests/virtual_network.py
+++ b/packages/kumquatchuted/src/kumquatchuted/searchers/tests/virtual_network.py
@@ -3,13 +3,16 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections import Counter
 from dataclasses import dataclass
 import random
 from typing import Any
 
+from kumquatchuted.gateway.tests.example_settings import EXAMPLE_SETTINGS
 from kumquatchuted.membership.messages import MembersChanged
 from kumquatchuted.membership.messages import RegisteredSearcher
 from kumquatchuted.membership.messages import SearcherState
+from kumquatchuted.searchers.task import SearchersTask
 from kumquatchuted.targets.tests.virtual_loop import VirtualLoop
 
 HOST = "10.0.0.1"
@@ -197,6 +200,24 @@
     )
 
 
+def start_searchers(
+    loop: NetworkLoop, members: MembersChanged, counts: Counter[str]
+) -> tuple[SearchersTask, asyncio.Future]:
+    """Start the task of searchers of a node.
+
+    :param counts: counts the events of the node
+    :returns: the task, and the future that ends it when it is cancelled
+    """
+    searchers = SearchersTask(
+        EXAMPLE_SETTINGS,
+        loop.time,
+        random.Random(1),
+        lambda event, label: counts.update((event,)),
+    )
+    searchers.mailbox.post(members)
+    return searchers, asyncio.ensure_future(searchers.run())
+
+
 def encode_response(
     status: int, req: ReceivedRequest, stamp: bytes, body: bytes = b""
 ) -> bytes:
